--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -61,12 +62,12 @@
 /// State shared by the agent and its running calls, which may outlive it.
 class Driver : public std::enable_shared_from_this<Driver> {
  public:
-  Driver(asio::io_context& io, std::unique_ptr<storage::Disk> disk, ConfigurationStore store,
+  Driver(asio::io_context& io, std::unique_ptr<storage::Disk> disk, std::optional<ConfigurationStore> store,
          SessionOptions options, protocol::Configuration configuration, TranslateEndpoint translate)
-      : incarnation_(options.incarnation),
-        io_(io),
+      : io_(io),
         disk_(std::move(disk)),
         store_(store),
+        options_(options),
         session_(std::move(options), std::move(configuration)),
         translate_(std::move(translate)),
         log_(logging::logger("agent")) {}
@@ -77,7 +78,7 @@
   Session& session() { return session_; }
   [[nodiscard]] const Session& session() const { return session_; }
   void add_callback(ChangeCallback callback) { callbacks_.push_back(std::move(callback)); }
-  [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
+  [[nodiscard]] std::uint64_t incarnation() const { return options_.incarnation; }
   [[nodiscard]] std::uint64_t control_bytes() const {
     std::uint64_t bytes = 0;
     for (const auto& [peer, channel] : channels_) {
@@ -122,11 +123,23 @@
     if (driver == nullptr) {
       return false;
     }
+    driver->renumber_when_superseded();
     driver->session_.tick(core::BootClock::now());
     driver->carry_out();
     return true;
   }
 
+  /// Without a disk, a life is numbered by the clock. If that was set back since an earlier life, control
+  /// takes this one for the older: it goes on under the number that follows.
+  void renumber_when_superseded() {
+    if (store_ || !session_.superseded()) {
+      return;
+    }
+    options_.incarnation = session_.newest_incarnation() + 1;
+    log_->warn("The clock went back: this life goes on as incarnation {}.", options_.incarnation);
+    session_ = Session(options_, session_.configuration());
+  }
+
   void send(SendHeartbeat effect) {
     std::shared_ptr<wire::Channel> to = channel(effect.to);
     asio::co_spawn(io_, send_heartbeat(weak_from_this(), std::move(to), std::move(effect)), asio::detached);
@@ -189,9 +202,7 @@
 
   /// On disk first: a restart must not fall back behind a revision that was in force.
   void store_and_apply(const protocol::FetchReply& fetched) {
-    const auto stored = store_.store(session_.configuration(), fetched);
-    if (!stored) {
-      log_->error("Configuration can't be stored: {}", core::describe(stored.error()));
+    if (!store(fetched)) {
       session_.drop_fetched(core::BootClock::now());
       return;
     }
@@ -203,6 +214,17 @@
     }
   }
 
+  bool store(const protocol::FetchReply& fetched) {
+    if (!store_) {
+      return true;
+    }
+    const auto stored = store_->store(session_.configuration(), fetched);
+    if (!stored) {
+      log_->error("Configuration can't be stored: {}", core::describe(stored.error()));
+    }
+    return stored.has_value();
+  }
+
   void on_push(const core::Endpoint& peer, wire::MessageType type, const std::string& body) {
     if (type != wire::MessageType::kRevisionNotice) {
       return;
@@ -214,10 +236,10 @@
     }
   }
 
-  std::uint64_t incarnation_;
   asio::io_context& io_;
   std::unique_ptr<storage::Disk> disk_;
-  ConfigurationStore store_;
+  std::optional<ConfigurationStore> store_;  ///< Refers to disk_; empty without one.
+  SessionOptions options_;
   Session session_;
   TranslateEndpoint translate_;
   logging::Logger log_;
@@ -302,6 +324,15 @@
     return core::fail(core::ErrorKind::kInvalidArgument, "No control replica is named.",
                       "Set the control endpoints.");
   }
+  SessionOptions session{
+      options.daemon,          0, options.zone, options.internal, options.callers, options.control,
+      options.standstill_limit};
+  if (options.data_folder.empty()) {
+    session.incarnation = static_cast<std::uint64_t>(core::unix_millis_now());
+    auto driver = std::make_shared<Driver>(io, nullptr, std::nullopt, std::move(session),
+                                           protocol::Configuration{}, std::move(options.translate));
+    return std::unique_ptr<Agent>(std::make_unique<AgentImplementation>(io, std::move(driver)));
+  }
   auto disk = storage::FileDisk::open(options.data_folder.string());
   if (!disk) {
     return disk.error();
@@ -315,8 +346,7 @@
   if (!incarnation) {
     return incarnation.error();
   }
-  SessionOptions session{options.daemon,   incarnation.value(), options.zone,
-                         options.internal, options.callers,     options.control};
+  session.incarnation = incarnation.value();
   auto driver = std::make_shared<Driver>(io, std::move(disk.value()), store, std::move(session),
                                          std::move(configuration.value()), std::move(options.translate));
   return std::unique_ptr<Agent>(std::make_unique<AgentImplementation>(io, std::move(driver)));
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -31,7 +31,11 @@
   /// Where to connect to for an endpoint that control names, if its addresses are translated on the way to
   /// this daemon. Empty: connect to the endpoint itself.
   std::function<core::Endpoint(const core::Endpoint&)> translate;
-  std::filesystem::path data_folder;  ///< Created when missing. Holds the last configuration.
+  /// Created when missing. Holds the last configuration. Empty: this machine has no disk; the daemon begins
+  /// each life with what control tells, numbered by the clock.
+  std::filesystem::path data_folder;
+  /// See SessionOptions.
+  core::Duration standstill_limit = std::chrono::milliseconds(100);
 };
 
 /// Called after a newer configuration was synced to disk and applied.
--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -13,6 +13,14 @@
   return left.database == right.database && left.suspicion == right.suspicion && left.term == right.term;
 }
 
+/// A change of primary waits until control knows that all daemons follow.
+bool awaits_followers(const protocol::Configuration& configuration) {
+  return std::any_of(configuration.groups.begin(), configuration.groups.end(), [](const auto& entry) {
+    const protocol::Group& group = entry.second;
+    return group.sync_replicas > 0 && !group.terms.empty() && group.terms.back().primary.empty();
+  });
+}
+
 bool same_suspicions(const std::vector<protocol::SuspicionReport>& left,
                      const std::vector<protocol::SuspicionReport>& right) {
   return std::equal(left.begin(), left.end(), right.begin(), right.end(), same_suspicion);
@@ -63,7 +71,7 @@
 // ------------------------------------------------------------------------------------
 
 void Session::notice_standstill(core::Instant now) {
-  const bool stood_still = now - last_tick_ > kStandstillLimit;
+  const bool stood_still = now - last_tick_ > options_.standstill_limit;
   last_tick_ = now;
   if (!stood_still) {
     return;
@@ -116,6 +124,7 @@
     follow_hint(now, reply.leader);
     return;
   }
+  newest_incarnation_ = std::max(newest_incarnation_, reply.known_incarnation);
   const bool leader_without_quorum = reply.current == 0;
   if (leader_without_quorum) {
     try_next_replica(now);
@@ -266,6 +275,9 @@
     }
   }
   newest_known_ = std::max(newest_known_, configuration_.revision);
+  if (awaits_followers(configuration_)) {
+    send_heartbeat(now);
+  }
   fetch_if_behind(now, leader_guess());
 }
 
--- a/src/agent/session.hpp
+++ b/src/agent/session.hpp
@@ -30,6 +30,9 @@
 
 using Effect = std::variant<SendHeartbeat, SendFetch>;
 
+/// A process whose ticks are further apart than this stood still: shorter than any change of primary takes.
+inline constexpr core::Duration kStandstillLimit = std::chrono::milliseconds(100);
+
 /// Who the daemon is.
 struct SessionOptions {
   core::DaemonId daemon;
@@ -38,12 +41,12 @@
   core::Endpoint internal;
   core::Endpoint callers;
   std::vector<core::Endpoint> control;  ///< At least one.
+  /// A process whose ticks are further apart than this stood still and gives its lease up.
+  core::Duration standstill_limit = kStandstillLimit;
 };
 
 /// How often to call Session::tick.
 inline constexpr core::Duration kSessionTick = std::chrono::milliseconds(25);
-/// A process whose ticks are further apart than this stood still: shorter than any change of primary takes.
-inline constexpr core::Duration kStandstillLimit = std::chrono::milliseconds(100);
 
 /// State of one life of a daemon towards control.
 class Session {
@@ -80,7 +83,7 @@
   /// Also false after this process stood still, until a heartbeat sent later is answered: what control said
   /// meanwhile may lie unread.
   [[nodiscard]] bool lease_valid(core::Instant now) const {
-    return now < lease_end_ && now - last_tick_ <= kStandstillLimit;
+    return now < lease_end_ && now - last_tick_ <= options_.standstill_limit;
   }
   [[nodiscard]] ownership::Budget allowed(const core::DatabaseId& database) const {
     return budgets_.allowed(database);
@@ -89,6 +92,10 @@
   [[nodiscard]] const protocol::Configuration& configuration() const { return configuration_; }
   /// Newest revision that any control replica has spoken of.
   [[nodiscard]] protocol::Revision newest_known() const { return newest_known_; }
+  /// True once control has said that it knows a later life of this daemon, as after a jump of the clock that
+  /// numbered them.
+  [[nodiscard]] bool superseded() const { return newest_incarnation_ > options_.incarnation; }
+  [[nodiscard]] std::uint64_t newest_incarnation() const { return newest_incarnation_; }
   /// The replica to which messages for the leader go.
   [[nodiscard]] core::Endpoint leader_guess() const;
   [[nodiscard]] protocol::Departure departure() const;
@@ -126,6 +133,7 @@
   core::Instant last_tick_;
 
   protocol::Revision newest_known_ = 0;
+  std::uint64_t newest_incarnation_ = 0;  ///< Of this daemon, that control knows.
   bool fetching_ = false;
   core::Instant next_fetch_;
   std::size_t next_fetch_source_ = 0;
--- a/src/configuration/command.hpp
+++ b/src/configuration/command.hpp
@@ -133,10 +133,52 @@
   MSGPACK_DEFINE(admit, set_state, remove);
 };
 
+/// Replaces all routes, provided that the version is above the one in force; otherwise changes nothing.
+/// Creates the groups that it names.
+struct PutRouteTable {
+  protocol::RouteTable table;
+  std::string document;  ///< The table as its author wrote it, for reading back.
+
+  MSGPACK_DEFINE(table, document);
+};
+
+/// A database of a self-registered group tells of itself. A database that was known at its endpoint is gone:
+/// this one has taken over its log. Draining is never taken back.
+struct RegisterDatabase {
+  core::GroupName group;
+  protocol::Database database;
+
+  MSGPACK_DEFINE(group, database);
+};
+
+/// A self-registered database ends: it takes no more work.
+struct DepartDatabase {
+  core::DatabaseId database;
+
+  MSGPACK_DEFINE(database);
+};
+
+/// Forgets a departed database whose log is no longer needed.
+struct RemoveDatabase {
+  core::DatabaseId database;
+
+  MSGPACK_DEFINE(database);
+};
+
+/// Takes over the primary that a group has had since before control knew it.
+struct AdoptPrimary {
+  core::GroupName group;
+  core::Term term = 0;
+  core::DatabaseId primary;
+
+  MSGPACK_DEFINE(group, term, primary);
+};
+
 /// Every operation. The order is part of the format on disk: append only.
 using Operation = std::variant<PutZone, PutPolicy, PutGroup, AdmitDaemon, SetDaemonState, RemoveDaemon,
                                SetDatabaseDraining, BeginPrimaryChange, CompletePrimaryChange, RecordControl,
-                               SetControlLeaving, RemoveControl, ChangeDaemons>;
+                               SetControlLeaving, RemoveControl, ChangeDaemons, PutRouteTable,
+                               RegisterDatabase, DepartDatabase, RemoveDatabase, AdoptPrimary>;
 
 /// One entry of the log.
 struct Command {
--- a/src/configuration/plan.cpp
+++ b/src/configuration/plan.cpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "configuration/plan_steps.hpp"
+#include "configuration/registry_plan.hpp"
 #include "configuration/validation.hpp"
 
 namespace pipitpond::configuration {
@@ -22,27 +24,6 @@
 using protocol::TermStart;
 using protocol::Zone;
 
-Plan refused(core::ErrorKind kind, std::string message, std::string remedy, Revision current = 0) {
-  return Plan{core::Error{kind, std::move(message), std::move(remedy), 0}, current, std::nullopt};
-}
-
-Plan unchanged(Revision current) {
-  return Plan{std::nullopt, current, std::nullopt};
-}
-
-/// Value under `key`, or null.
-template <typename Map, typename Key>
-const typename Map::mapped_type* find(const Map& map, const Key& key) {
-  const auto found = map.find(key);
-  return found == map.end() ? nullptr : &found->second;
-}
-
-Change next_change(const Configuration& configuration) {
-  Change change;
-  change.revision = configuration.revision + 1;
-  return change;
-}
-
 /// A refusal when the operator saw another revision than the current one.
 std::optional<Plan> conflict(const PlanContext& context, const std::string& what, Revision current) {
   if (context.expected_revision == current) {
--- a/src/configuration/plan.hpp
+++ b/src/configuration/plan.hpp
@@ -27,6 +27,8 @@
   protocol::Revision expected_revision = 0;
   /// Members of the last completed change of primary of the operation's group; empty before the first.
   Members promoted_members;
+  /// Databases that have registered by themselves, ended, and been removed; null: none.
+  const Members* removed_databases = nullptr;
 };
 
 /// Plans any operation.
--- /dev/null
+++ b/src/configuration/registry_plan.hpp
@@ -0,0 +1,20 @@
+// Plans of route tables and of databases that register and leave by themselves.
+#pragma once
+
+#include "configuration/plan.hpp"
+
+namespace pipitpond::configuration {
+
+Plan plan_one(const PlanContext& context, const PutRouteTable& put);
+Plan plan_one(const PlanContext& context, const RegisterDatabase& registration);
+Plan plan_one(const PlanContext& context, const DepartDatabase& departure);
+Plan plan_one(const PlanContext& context, const RemoveDatabase& removal);
+Plan plan_one(const PlanContext& context, const AdoptPrimary& adoption);
+
+/// Connections that a self-registered database keeps free for control's own calls: those of the leader and of
+/// one that has just been replaced.
+inline constexpr std::uint32_t kConnectionsForControl = 4;
+/// Connections that each owner of a self-registered database gets at least.
+inline constexpr std::uint32_t kConnectionsPerOwner = 3;
+
+}  // namespace pipitpond::configuration
--- a/src/configuration/state_machine.cpp
+++ b/src/configuration/state_machine.cpp
@@ -61,7 +61,7 @@
 
 CommandResult StateMachine::execute(const Command& command) {
   const PlanContext context{state_.configuration, command.expected_revision,
-                            promoted_members_for(command.operation)};
+                            promoted_members_for(command.operation), &state_.removed_databases};
   const Plan planned = plan(context, command.operation);
   CommandResult result;
   result.error = planned.error;
@@ -82,15 +82,32 @@
 void StateMachine::accept(const Command& command, const Change& change) {
   protocol::apply(state_.configuration, change);
   keep_change(change);
-  const auto* complete = std::get_if<CompletePrimaryChange>(&command.operation);
-  if (complete == nullptr) {
-    return;
+  if (const auto* complete = std::get_if<CompletePrimaryChange>(&command.operation)) {
+    remember_members(*complete);
+  } else if (const auto* put = std::get_if<PutRouteTable>(&command.operation)) {
+    state_.route_document = put->document;
+  } else if (const auto* removal = std::get_if<RemoveDatabase>(&command.operation)) {
+    remember_removal(removal->database);
   }
+}
+
+void StateMachine::remember_members(const CompletePrimaryChange& complete) {
   Members members;
-  for (const protocol::Database& database : state_.configuration.groups.at(complete->group).databases) {
+  for (const protocol::Database& database : state_.configuration.groups.at(complete.group).databases) {
     members.insert(database.id);
   }
-  state_.promoted_members[complete->group] = std::move(members);
+  state_.promoted_members[complete.group] = std::move(members);
+}
+
+void StateMachine::remember_removal(const core::DatabaseId& database) {
+  if (!state_.removed_databases.insert(database).second) {
+    return;
+  }
+  state_.removal_order.push_back(database);
+  while (state_.removal_order.size() > limits_.removed_databases) {
+    state_.removed_databases.erase(state_.removal_order.front());
+    state_.removal_order.pop_front();
+  }
 }
 
 void StateMachine::keep_change(const Change& change) {
--- a/src/configuration/state_machine.hpp
+++ b/src/configuration/state_machine.hpp
@@ -25,6 +25,8 @@
   /// Answers kept for resent keys, oldest out. A change resent later than that is taken for a new one; its
   /// revision is then no longer the current one, so that it is refused as a conflict.
   std::size_t answers = 10'000;
+  /// Removed databases that are remembered, so that a late message does not register one again.
+  std::size_t removed_databases = 256;
 };
 
 /// First answer of a key.
@@ -54,6 +56,8 @@
   CommandResult apply(std::uint64_t index, const Command& command);
 
   [[nodiscard]] const protocol::Configuration& configuration() const { return state_.configuration; }
+  /// The route table in force as its author wrote it; empty before the first.
+  [[nodiscard]] const std::string& route_document() const { return state_.route_document; }
   /// Log index of the last applied command.
   [[nodiscard]] std::uint64_t applied_index() const { return state_.applied_index; }
 
@@ -75,13 +79,18 @@
     std::map<core::RequestKey, KeptAnswer> answers;
     std::deque<core::RequestKey> answer_order;  ///< Oldest first.
     std::map<core::GroupName, Members> promoted_members;
+    std::string route_document;  ///< The route table in force as its author wrote it.
+    Members removed_databases;
+    std::deque<core::DatabaseId> removal_order;  ///< Oldest first.
 
     MSGPACK_DEFINE(applied_index, configuration, changes, change_bytes, answers, answer_order,
-                   promoted_members);
+                   promoted_members, route_document, removed_databases, removal_order);
   };
 
   CommandResult execute(const Command& command);
   void accept(const Command& command, const protocol::Change& change);
+  void remember_members(const CompletePrimaryChange& complete);
+  void remember_removal(const core::DatabaseId& database);
   void keep_change(const protocol::Change& change);
   void keep_answer(const core::RequestKey& key, std::uint64_t fingerprint, const CommandResult& result);
   [[nodiscard]] Members promoted_members_for(const Operation& operation) const;
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -62,10 +62,11 @@
 }  // namespace
 
 ControlServer::ControlServer(boost::asio::io_context& io, ControlOptions options,
-                             std::function<void(const core::Error&)> failed)
+                             std::function<void(const core::Error&)> failed, ControlAdapters adapters)
     : io_(io),
       options_(std::move(options)),
       failed_(std::move(failed)),
+      adapters_(std::move(adapters)),
       peers_(io,
              [this](raft::Message message) {
                if (replica_) {
@@ -102,6 +103,7 @@
   config.heartbeat_interval = options_.heartbeat_interval;
   config.election_timeout_min = options_.election_timeout_min;
   config.election_timeout_max = options_.election_timeout_max;
+  config.open_membership = options_.open_membership;
   ReplicaEvents events;
   events.configuration_changed = [this](const protocol::Configuration& value) { on_configuration(value); };
   events.leadership_changed = [this](bool leading) { on_leadership(leading); };
@@ -114,7 +116,9 @@
 }
 
 void ControlServer::make_services() {
-  duties_ = std::make_unique<LeaderDuties>(io_, *replica_, options_.database_calls);
+  duties_ = std::make_unique<LeaderDuties>(io_, *replica_, [this](DatabaseCallAnswers answers) {
+    return make_database_calls(std::move(answers));
+  });
   const auto forward = [this](core::Endpoint leader, protocol::OperatorRequest request,
                               core::Duration timeout) {
     return peers_.forward(std::move(leader), std::move(request), timeout);
@@ -129,6 +133,18 @@
   }
 }
 
+std::unique_ptr<DatabaseCalls> ControlServer::make_database_calls(DatabaseCallAnswers answers) {
+  if (!adapters_.make_database_calls) {
+    return std::make_unique<HttpDatabaseCalls>(io_, options_.database_calls, std::move(answers));
+  }
+  LeaderMandate mandate;
+  mandate.holds = [this] {
+    return replica_->leading() && replica_->node().has_quorum(core::BootClock::now());
+  };
+  mandate.token = [this] { return replica_->node().term(); };
+  return adapters_.make_database_calls(io_, std::move(mandate), std::move(answers));
+}
+
 core::Result<void> ControlServer::open_ports() {
   auto wire_server = wire::Server::start(
       io_, options_.internal.address, options_.internal.port,
@@ -186,6 +202,13 @@
 }
 
 void ControlServer::on_http(http::Request request, http::Responder respond) {
+  if (adapters_.translate_request) {
+    if (auto call = adapters_.translate_request(request)) {
+      boost::asio::co_spawn(io_, serve_translated(std::move(*call), std::move(respond)),
+                            boost::asio::detached);
+      return;
+    }
+  }
   if (request.path == "/healthz") {
     respond(json_response(200, R"({"status":"ok"})"));
   } else if (request.path == "/readyz") {
@@ -229,6 +252,12 @@
   respond(to_response(std::move(reply)));
 }
 
+awaitable<void> ControlServer::serve_translated(TranslatedCall call, http::Responder respond) {
+  const InProgress counted(requests_in_progress_);
+  auto reply = co_await operators_->handle(std::move(call.request));
+  respond(call.answer(std::move(reply)));
+}
+
 awaitable<protocol::OperatorReply> ControlServer::serve_forwarded(protocol::OperatorRequest request) {
   const InProgress counted(requests_in_progress_);
   auto reply = co_await operators_->handle_as_leader(std::move(request));
--- a/src/control/control_server.hpp
+++ b/src/control/control_server.hpp
@@ -24,12 +24,35 @@
 
 namespace pipitpond::control {
 
+/// An HTTP request of another interface, translated into a call of the operators' interface.
+struct TranslatedCall {
+  protocol::OperatorRequest request;
+  /// Makes the answer of the other interface.
+  std::function<http::Response(protocol::OperatorReply)> answer;
+};
+
+/// Translates a request; empty when it is none of the other interface.
+using TranslateRequest = std::function<std::optional<TranslatedCall>(const http::Request&)>;
+
+/// Numbers what a leader orders from outside: grows with each change of leader.
+struct LeaderMandate {
+  std::function<bool()> holds;           ///< This replica leads and surely no other one does.
+  std::function<std::uint64_t()> token;  ///< The leader's term.
+};
+
+/// Ways in which control meets systems that don't speak its own protocols. Each may be left out.
+struct ControlAdapters {
+  TranslateRequest translate_request;
+  std::function<std::unique_ptr<DatabaseCalls>(boost::asio::io_context&, LeaderMandate, DatabaseCallAnswers)>
+      make_database_calls;
+};
+
 /// One control process.
 class ControlServer {
  public:
   /// `failed` is called when the process must end because its disk can't be trusted any more.
   ControlServer(boost::asio::io_context& io, ControlOptions options,
-                std::function<void(const core::Error&)> failed);
+                std::function<void(const core::Error&)> failed, ControlAdapters adapters = {});
   ControlServer(const ControlServer&) = delete;
   ControlServer& operator=(const ControlServer&) = delete;
 
@@ -48,7 +71,9 @@
   void on_configuration(const protocol::Configuration& configuration);
   void tell_daemons(protocol::Revision revision);
   void on_leadership(bool leading);
+  std::unique_ptr<DatabaseCalls> make_database_calls(DatabaseCallAnswers answers);
   void on_http(http::Request request, http::Responder respond);
+  boost::asio::awaitable<void> serve_translated(TranslatedCall call, http::Responder respond);
   boost::asio::awaitable<void> serve_operator(http::Request request, http::Responder respond);
   boost::asio::awaitable<protocol::OperatorReply> serve_forwarded(protocol::OperatorRequest request);
   boost::asio::awaitable<void> ask_to_join();
@@ -61,6 +86,7 @@
   boost::asio::io_context& io_;
   ControlOptions options_;
   std::function<void(const core::Error&)> failed_;
+  ControlAdapters adapters_;
   PeerChannels peers_;
   StartedDisk disk_;
   std::unique_ptr<Replica> replica_;
--- a/src/control/database_calls.cpp
+++ b/src/control/database_calls.cpp
@@ -61,23 +61,23 @@
 
 }  // namespace
 
-DatabaseCalls::DatabaseCalls(boost::asio::io_context& io, DatabaseCallTimeouts timeouts,
-                             DatabaseCallAnswers answers)
+HttpDatabaseCalls::HttpDatabaseCalls(boost::asio::io_context& io, DatabaseCallTimeouts timeouts,
+                                     DatabaseCallAnswers answers)
     : io_(io), timeouts_(timeouts), answers_(std::move(answers)) {}
 
-void DatabaseCalls::probe(failover::ProbeDatabase call) {
+void HttpDatabaseCalls::probe(failover::ProbeDatabase call) {
   boost::asio::co_spawn(io_, run_probe(std::move(call)), boost::asio::detached);
 }
 
-void DatabaseCalls::fence(failover::FenceDatabase call) {
+void HttpDatabaseCalls::fence(failover::FenceDatabase call) {
   boost::asio::co_spawn(io_, run_fence(std::move(call)), boost::asio::detached);
 }
 
-void DatabaseCalls::promote(failover::PromoteDatabase call) {
+void HttpDatabaseCalls::promote(failover::PromoteDatabase call) {
   boost::asio::co_spawn(io_, run_promote(std::move(call)), boost::asio::detached);
 }
 
-awaitable<void> DatabaseCalls::run_probe(failover::ProbeDatabase call) {
+awaitable<void> HttpDatabaseCalls::run_probe(failover::ProbeDatabase call) {
   http::Request request;
   request.path = "/v1/status";
   const auto response =
@@ -91,7 +91,7 @@
   }
 }
 
-awaitable<void> DatabaseCalls::run_fence(failover::FenceDatabase call) {
+awaitable<void> HttpDatabaseCalls::run_fence(failover::FenceDatabase call) {
   const database::FenceRequest body{call.term};
   const auto response = co_await exchange(io_, call.endpoint, post("/v1/fence", database::serialize(body)),
                                           timeouts_.connect, timeouts_.fence);
@@ -106,7 +106,7 @@
   }
 }
 
-awaitable<void> DatabaseCalls::run_promote(failover::PromoteDatabase call) {
+awaitable<void> HttpDatabaseCalls::run_promote(failover::PromoteDatabase call) {
   const database::PromoteRequest body{call.term, call.members};
   const auto response = co_await exchange(io_, call.endpoint, post("/v1/promote", database::serialize(body)),
                                           timeouts_.connect, timeouts_.promote);
--- a/src/control/database_calls.hpp
+++ b/src/control/database_calls.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "core/clock.hpp"
@@ -34,15 +35,29 @@
       refused;
 };
 
-/// Makes the calls. Must outlive them: stop the io_context first.
+/// Makes the calls. Must outlive them: stop the io_context first. One implementation for each protocol that
+/// databases speak to control.
 class DatabaseCalls {
  public:
-  DatabaseCalls(boost::asio::io_context& io, DatabaseCallTimeouts timeouts, DatabaseCallAnswers answers);
+  virtual ~DatabaseCalls() = default;
 
   /// Begin a call; exactly one of its answers follows.
-  void probe(failover::ProbeDatabase call);
-  void fence(failover::FenceDatabase call);
-  void promote(failover::PromoteDatabase call);
+  virtual void probe(failover::ProbeDatabase call) = 0;
+  virtual void fence(failover::FenceDatabase call) = 0;
+  virtual void promote(failover::PromoteDatabase call) = 0;
+};
+
+/// Makes the calls of one process, which report to the given answers.
+using MakeDatabaseCalls = std::function<std::unique_ptr<DatabaseCalls>(DatabaseCallAnswers answers)>;
+
+/// The project's own protocol: HTTP with JSON.
+class HttpDatabaseCalls : public DatabaseCalls {
+ public:
+  HttpDatabaseCalls(boost::asio::io_context& io, DatabaseCallTimeouts timeouts, DatabaseCallAnswers answers);
+
+  void probe(failover::ProbeDatabase call) override;
+  void fence(failover::FenceDatabase call) override;
+  void promote(failover::PromoteDatabase call) override;
 
  private:
   boost::asio::awaitable<void> run_probe(failover::ProbeDatabase call);
--- a/src/control/disk_start.cpp
+++ b/src/control/disk_start.cpp
@@ -44,7 +44,9 @@
 }
 
 awaitable<core::Result<void>> initialize(ControlOptions options, PeerChannels& peers, storage::Disk& disk) {
-  const bool founds = options.bootstrap && !(co_await cluster_exists(options, peers));
+  const bool named = std::any_of(options.peers.begin(), options.peers.end(),
+                                 [&](const Peer& peer) { return peer.name == options.name; });
+  const bool founds = options.bootstrap && named && !(co_await cluster_exists(options, peers));
   if (founds) {
     const storage::Identity identity{options.cluster, core::ControlId(options.name)};
     co_return storage::RaftStorage::create(disk, identity, founding_state(options));
--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -19,11 +19,14 @@
 
 }  // namespace
 
-LeaderDuties::LeaderDuties(boost::asio::io_context& io, Replica& replica, DatabaseCallTimeouts timeouts)
+LeaderDuties::LeaderDuties(boost::asio::io_context& io, Replica& replica, const MakeDatabaseCalls& make_calls)
     : io_(io),
       timer_(io),
       replica_(replica),
-      calls_(io, timeouts, make_answers()),
+      coordinator_([this](core::Instant now, protocol::Revision revision) {
+        return leases_.followed_or_expired(now, revision);
+      }),
+      calls_(make_calls(make_answers())),
       daemon_changes_(io, [this](configuration::ChangeDaemons changes) {
         return propose_daemon_changes(std::move(changes));
       }) {}
@@ -105,6 +108,7 @@
     protocol::HeartbeatReply refused;
     refused.sequence = heartbeat.sequence;
     refused.current = configuration.revision;
+    refused.known_incarnation = known->second.incarnation;
     return refused;
   }
   admit(heartbeat);
@@ -254,11 +258,11 @@
 
 void LeaderDuties::carry_out(const failover::Effect& effect) {
   if (const auto* probe = std::get_if<failover::ProbeDatabase>(&effect)) {
-    calls_.probe(*probe);
+    calls_->probe(*probe);
   } else if (const auto* fence = std::get_if<failover::FenceDatabase>(&effect)) {
-    calls_.fence(*fence);
+    calls_->fence(*fence);
   } else if (const auto* promote = std::get_if<failover::PromoteDatabase>(&effect)) {
-    calls_.promote(*promote);
+    calls_->promote(*promote);
   } else if (const auto* begin = std::get_if<failover::ProposeBegin>(&effect)) {
     propose("begin " + begin->group.value(),
             configuration::BeginPrimaryChange{begin->group, begin->expected_term, begin->new_term});
@@ -266,6 +270,11 @@
     propose("complete " + complete->group.value(),
             configuration::CompletePrimaryChange{complete->group, complete->term, complete->primary,
                                                  complete->start});
+  } else if (const auto* adopt = std::get_if<failover::ProposeAdopt>(&effect)) {
+    propose("adopt " + adopt->group.value(),
+            configuration::AdoptPrimary{adopt->group, adopt->term, adopt->primary});
+  } else if (const auto* remove = std::get_if<failover::ProposeRemove>(&effect)) {
+    propose("database " + remove->database.value(), configuration::RemoveDatabase{remove->database});
   }
 }
 
--- a/src/control/leader_duties.hpp
+++ b/src/control/leader_duties.hpp
@@ -34,7 +34,7 @@
 /// Duties of a leader; idle on a follower.
 class LeaderDuties {
  public:
-  LeaderDuties(boost::asio::io_context& io, Replica& replica, DatabaseCallTimeouts timeouts);
+  LeaderDuties(boost::asio::io_context& io, Replica& replica, const MakeDatabaseCalls& make_calls);
   LeaderDuties(const LeaderDuties&) = delete;
   LeaderDuties& operator=(const LeaderDuties&) = delete;
 
@@ -76,9 +76,9 @@
   boost::asio::io_context& io_;
   boost::asio::steady_timer timer_;
   Replica& replica_;
-  failover::Coordinator coordinator_;
   failover::DaemonLeases leases_;
-  DatabaseCalls calls_;
+  failover::Coordinator coordinator_;
+  std::unique_ptr<DatabaseCalls> calls_;
   DaemonChanges daemon_changes_;
   bool running_ = false;
   bool leading_ = false;
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -6,8 +6,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "configuration/plan.hpp"
 #include "control/control_id.hpp"
 #include "control/daemon_service.hpp"
+#include "control/route_json.hpp"
 #include "control/status_json.hpp"
 
 namespace pipitpond::control {
@@ -73,6 +75,9 @@
                      1000};
 }
 
+/// Notices of databases: POST /v1/databases/ID/heartbeat and POST /v1/databases/ID/leave.
+const std::string kDatabasesPath = "/v1/databases/";
+
 /// The name in "/v1/groups/NAME" for the prefix "/v1/groups/"; empty when the path has another prefix.
 std::string name_after(const std::string& path, const std::string& prefix) {
   return path.starts_with(prefix) ? path.substr(prefix.size()) : std::string();
@@ -122,6 +127,9 @@
       timeouts_(timeouts) {}
 
 awaitable<OperatorReply> OperatorApi::handle(OperatorRequest request) {
+  if (auto known = answer_known_database(request)) {
+    co_return std::move(*known);
+  }
   const core::Instant give_up = core::BootClock::now() + timeouts_.leader_change;
   while (true) {
     OperatorReply reply = co_await attempt(request);
@@ -153,6 +161,9 @@
 }
 
 awaitable<OperatorReply> OperatorApi::handle_as_leader(OperatorRequest request) {
+  if (request.method == "GET" && request.path == "/v1/routes") {
+    co_return co_await read_routes();
+  }
   if (request.method == "GET") {
     co_return co_await handle_get(std::move(request.path));
   }
@@ -203,6 +214,9 @@
 }
 
 awaitable<OperatorReply> OperatorApi::handle_put(OperatorRequest request) {
+  if (request.path == "/v1/routes") {
+    co_return co_await put_routes(std::move(request));
+  }
   if (const auto name = name_after(request.path, "/v1/groups/"); !name.empty()) {
     co_return co_await change(parse_put_group(core::GroupName(name), request.body));
   }
@@ -230,6 +244,9 @@
 }
 
 awaitable<OperatorReply> OperatorApi::handle_post(OperatorRequest request) {
+  if (!name_after(request.path, kDatabasesPath).empty()) {
+    co_return co_await change_database(std::move(request));
+  }
   if (request.path == "/v1/drain") {
     co_return co_await change(parse_drain(request.body));
   }
@@ -242,6 +259,74 @@
   co_return error_reply(no_such_path(request));
 }
 
+// --- Routes and databases that register by themselves
+// ---------------------------------------------------------
+
+awaitable<OperatorReply> OperatorApi::put_routes(OperatorRequest request) {
+  auto put = parse_put_routes(request.body);
+  if (!put) {
+    co_return error_reply(put.error());
+  }
+  configuration::Command command;
+  command.operation = std::move(put.value());
+  co_return co_await change(std::move(command));
+}
+
+awaitable<OperatorReply> OperatorApi::read_routes() {
+  const auto current = co_await replica_.read_barrier(timeouts_.proposal);
+  if (!current) {
+    co_return error_reply(current.error());
+  }
+  if (replica_.machine().configuration().routes.version == 0) {
+    co_return error_reply(core::Error{core::ErrorKind::kNotFound, "No route table has been put yet.",
+                                      "Send one with PUT /v1/routes.", 0});
+  }
+  co_return OperatorReply{200, replica_.machine().route_document()};
+}
+
+awaitable<OperatorReply> OperatorApi::change_database(OperatorRequest request) {
+  auto command = parse_database_notice(request.path.substr(kDatabasesPath.size()), request.body);
+  if (!command) {
+    co_return error_reply(command.error());
+  }
+  const auto result = co_await replica_.propose(std::move(command.value()), timeouts_.proposal);
+  if (!result) {
+    co_return error_reply(result.error());
+  }
+  if (result.value().error) {
+    co_return error_reply(*result.value().error);
+  }
+  co_return database_reply();
+}
+
+/// Most notices of databases tell what every replica knows already: no need to ask the leader.
+std::optional<OperatorReply> OperatorApi::answer_known_database(const OperatorRequest& request) const {
+  if (request.method != "POST" || !request.path.starts_with(kDatabasesPath)) {
+    return std::nullopt;
+  }
+  const auto command = parse_database_notice(request.path.substr(kDatabasesPath.size()), request.body);
+  if (!command) {
+    return error_reply(command.error());
+  }
+  const configuration::PlanContext context{replica_.machine().configuration(), 0, {}};
+  const configuration::Plan planned = configuration::plan(context, command.value().operation);
+  if (planned.error || planned.change) {
+    return std::nullopt;
+  }
+  return database_reply();
+}
+
+/// Tells where the next notices are best sent: to the leader.
+OperatorReply OperatorApi::database_reply() const {
+  json body = json::object();
+  const raft::Node& node = replica_.node();
+  const raft::Member* leader = node.leader() ? node.membership().find(*node.leader()) : nullptr;
+  if (leader != nullptr) {
+    body["next"] = leader->operators;
+  }
+  return ok(body);
+}
+
 OperatorReply OperatorApi::check(const core::Result<std::string>& source) {
   if (!source) {
     return error_reply(source.error());
--- a/src/control/options.cpp
+++ b/src/control/options.cpp
@@ -43,11 +43,13 @@
   section_.endpoint("listen.internal", options_.internal, "Address for daemons and control replicas")
       .required();
   section_.endpoint("listen.http", options_.operators, "Address for operators").required();
-  section_
-      .texts("peers", peer_texts_,
-             "All control machines as others reach them: NAME=INTERNAL/HTTP, such as "
-             "c1=10.0.0.1:7100/10.0.0.1:7101")
-      .required();
+  section_.texts("peers", peer_texts_,
+                 "All control machines as others reach them: NAME=INTERNAL/HTTP, such as "
+                 "c1=10.0.0.1:7100/10.0.0.1:7101");
+  section_.endpoints(
+      "cluster.seeds", seeds_,
+      "Instead of peers: HTTP addresses of some control machines. Machines are then named by their "
+      "IP numbers, found the cluster if they are seeds, and otherwise join by themselves");
   section_.endpoint("platform.endpoint", platform_,
                     "The platform's list of machines; leave out if there is none");
   section_.duration("platform.interval_ms", options_.platform_interval, kMillis,
@@ -63,6 +65,15 @@
   section_.check([this] { return check(); });
 }
 
+/// All control machines use the same port for each other.
+void ControlSettings::take_seeds() {
+  options_.open_membership = true;
+  options_.peers.clear();
+  for (const core::Endpoint& seed : seeds_) {
+    options_.peers.push_back(Peer{seed.address, core::Endpoint{seed.address, options_.internal.port}, seed});
+  }
+}
+
 std::optional<settings::Problem> ControlSettings::check() {
   if (configuration::check_name("machine", options_.name)) {
     return settings::Problem{"", "node.id", "is no valid name", "Use letters, digits, '.', '_' and '-'."};
@@ -76,6 +87,15 @@
     }
     options_.peers.push_back(*peer);
   }
+  if (!seeds_.empty()) {
+    take_seeds();
+    options_.platform = platform_.port == 0 ? std::nullopt : std::optional(platform_);
+    return std::nullopt;
+  }
+  if (options_.peers.empty()) {
+    return settings::Problem{"", "peers", "names no control machine",
+                             "List all of them, or give cluster.seeds."};
+  }
   const bool named = std::any_of(options_.peers.begin(), options_.peers.end(),
                                  [this](const Peer& peer) { return peer.name == options_.name; });
   if (options_.bootstrap && !named) {
--- a/src/control/options.hpp
+++ b/src/control/options.hpp
@@ -32,7 +32,11 @@
   std::string data_folder;
   core::Endpoint internal;   ///< Listens there for daemons and other control replicas.
   core::Endpoint operators;  ///< Listens there for operators.
-  std::vector<Peer> peers;   ///< All control machines with the addresses at which others reach them.
+  /// All control machines, or some of them that are there at the first start, with the addresses at which
+  /// others reach them.
+  std::vector<Peer> peers;
+  /// Machines that `peers` does not name join by themselves; silent ones are removed.
+  bool open_membership = false;
   /// Founds the cluster when the disk is empty and no peer knows of one. Otherwise an empty disk joins.
   bool bootstrap = false;
   std::optional<core::Endpoint> platform;
@@ -61,7 +65,10 @@
 
   settings::Section section_;
   ControlOptions options_;
+  void take_seeds();
+
   std::vector<std::string> peer_texts_;
+  std::vector<core::Endpoint> seeds_;
   core::Endpoint platform_;
 };
 
--- /dev/null
+++ b/src/control/route_json.cpp
@@ -0,0 +1,128 @@
+#include "control/route_json.hpp"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "control/json_fields.hpp"
+
+namespace pipitpond::control {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
+constexpr std::uint64_t kMaxMillis = std::uint64_t{24} * 3600 * 1000;
+constexpr std::uint64_t kMaxCount = 1'000'000;
+
+std::uint32_t millis(JsonFields& fields, const std::string& name) {
+  return static_cast<std::uint32_t>(fields.number(name, kMaxMillis));
+}
+
+std::uint32_t millis_or_none(JsonFields& fields, const std::string& name) {
+  return fields.has(name) ? millis(fields, name) : 0;
+}
+
+std::uint32_t count_or_none(JsonFields& fields, const std::string& name) {
+  return fields.has(name) ? static_cast<std::uint32_t>(fields.number(name, kMaxCount)) : 0;
+}
+
+protocol::RouteKind read_kind(const std::string& text, const std::string& where) {
+  if (text == "primary") {
+    return protocol::RouteKind::kPrimary;
+  }
+  if (text == "bounded") {
+    return protocol::RouteKind::kBounded;
+  }
+  if (text == "session") {
+    return protocol::RouteKind::kSession;
+  }
+  throw BadField{where + ".kind must be primary, bounded or session."};
+}
+
+protocol::Route read_route(const json& value, const std::string& where) {
+  JsonFields fields(value, where);
+  protocol::Route route;
+  route.name = fields.text_or("name", "");
+  route.database = fields.text("database");
+  route.path_prefix = fields.text_or("path_prefix", "");
+  route.kind = read_kind(fields.text("kind"), where);
+  route.group = core::GroupName(fields.text("group"));
+  route.timeout_ms = millis(fields, "timeout_ms");
+  route.goal_ms = millis_or_none(fields, "goal_ms");
+  route.priority = count_or_none(fields, "priority");
+  route.max_attempts = count_or_none(fields, "max_attempts");
+  route.max_staleness_ms = millis_or_none(fields, "max_staleness_ms");
+  fields.no_others();
+  return route;
+}
+
+protocol::RoutedGroup read_group(const json& value, const std::string& where) {
+  JsonFields fields(value, where);
+  protocol::RoutedGroup group;
+  group.name = core::GroupName(fields.text("name"));
+  group.connection_limit = static_cast<std::uint32_t>(fields.number("connection_limit", kMaxCount));
+  group.sync_replicas = count_or_none(fields, "sync_replicas");
+  fields.no_others();
+  return group;
+}
+
+template <typename Item, typename Read>
+std::vector<Item> read_list(const json& list, const std::string& name, Read read) {
+  std::vector<Item> items;
+  for (const json& one : list) {
+    items.push_back(read(one, "body." + name + "[" + std::to_string(items.size()) + "]"));
+  }
+  return items;
+}
+
+configuration::Operation read_heartbeat(const core::DatabaseId& id, const json& value) {
+  JsonFields fields(value, "body");
+  configuration::RegisterDatabase registration;
+  registration.group = core::GroupName(fields.text("group"));
+  registration.database.id = id;
+  registration.database.endpoint = fields.endpoint("endpoint");
+  registration.database.zone = core::ZoneName(fields.text_or("zone", ""));
+  registration.database.slots = count_or_none(fields, "slots");
+  registration.database.draining = fields.boolean_or("draining", false);
+  fields.no_others();
+  return registration;
+}
+
+}  // namespace
+
+core::Result<configuration::PutRouteTable> parse_put_routes(const std::string& body) {
+  return parse_fields(body, [](const json& value) {
+    JsonFields fields(value, "body");
+    configuration::PutRouteTable put;
+    put.table.version = fields.number("version", kMaxVersion);
+    put.table.transaction_idle_ms = millis_or_none(fields, "transaction_idle_ms");
+    put.table.routes = read_list<protocol::Route>(fields.array("routes"), "routes", read_route);
+    put.table.groups = read_list<protocol::RoutedGroup>(fields.array("groups"), "groups", read_group);
+    put.document = fields.text("document");
+    fields.no_others();
+    return put;
+  });
+}
+
+core::Result<configuration::Command> parse_database_notice(const std::string& id_and_notice,
+                                                           const std::string& body) {
+  const auto slash = id_and_notice.find('/');
+  const core::DatabaseId id(id_and_notice.substr(0, slash));
+  const std::string notice = slash == std::string::npos ? "" : id_and_notice.substr(slash + 1);
+  configuration::Command command;
+  if (notice == "leave") {
+    command.operation = configuration::DepartDatabase{id};
+    return command;
+  }
+  if (notice != "heartbeat") {
+    return core::fail(core::ErrorKind::kNotFound, "There is no such notice of a database.",
+                      "Send POST /v1/databases/ID/heartbeat or POST /v1/databases/ID/leave.");
+  }
+  return parse_fields(body, [&](const json& value) {
+    command.operation = read_heartbeat(id, value);
+    return command;
+  });
+}
+
+}  // namespace pipitpond::control
--- a/src/failover/coordinator.cpp
+++ b/src/failover/coordinator.cpp
@@ -6,7 +6,8 @@
 
 namespace pipitpond::failover {
 
-Coordinator::Coordinator() = default;
+Coordinator::Coordinator(RevisionFollowed revision_followed)
+    : revision_followed_(std::move(revision_followed)) {}
 Coordinator::~Coordinator() = default;
 
 void Coordinator::on_leadership(core::Instant now, bool leading) {
@@ -35,7 +36,7 @@
   for (const auto& [name, group] : configuration_.groups) {
     std::unique_ptr<GroupCoordinator>& coordinator = groups_[name];
     if (coordinator == nullptr) {
-      coordinator = std::make_unique<GroupCoordinator>(effects_);
+      coordinator = std::make_unique<GroupCoordinator>(effects_, revision_followed_);
     }
     for (const protocol::Database& database : group.databases) {
       group_of_[database.id] = name;
@@ -45,7 +46,7 @@
     if (primary.has_value()) {
       owners = owner_table_.owners(primary->primary);
     }
-    coordinator->on_configuration(now, group, std::move(owners));
+    coordinator->on_configuration(now, group, std::move(owners), configuration_.revision);
   }
 }
 
--- a/src/failover/coordinator.hpp
+++ b/src/failover/coordinator.hpp
@@ -27,7 +27,10 @@
 /// Coordinates the primaries of all groups.
 class Coordinator {
  public:
-  Coordinator();
+  /// `revision_followed` is asked before a group that acknowledges by receipt gets its new primary.
+  explicit Coordinator(RevisionFollowed revision_followed = [](core::Instant, protocol::Revision) {
+    return true;
+  });
   ~Coordinator();
   Coordinator(const Coordinator&) = delete;
   Coordinator& operator=(const Coordinator&) = delete;
@@ -71,6 +74,7 @@
  private:
   GroupCoordinator* find(const core::GroupName& group);
 
+  RevisionFollowed revision_followed_;
   bool leading_ = false;
   std::map<core::GroupName, std::unique_ptr<GroupCoordinator>> groups_;
   std::map<core::DatabaseId, core::GroupName> group_of_;
--- a/src/failover/daemon_leases.cpp
+++ b/src/failover/daemon_leases.cpp
@@ -76,6 +76,7 @@
     entry.heard = true;
     entry.last_grant = now;
     entry.settled = std::max(entry.settled, heartbeat.settled);
+    entry.applied = std::max(entry.applied, heartbeat.applied);
     put(found->first, entry);
   }
   // A daemon that was removed and is back would, by the configuration that it still has, use budgets that
@@ -135,6 +136,14 @@
   return daemons;
 }
 
+bool DaemonLeases::followed_or_expired(core::Instant now, protocol::Revision revision) const {
+  const core::Duration surely_ended = protocol::kDaemonLease + protocol::kLeaseClockMargin;
+  return std::all_of(entries_.begin(), entries_.end(), [&](const auto& one) {
+    const Entry& entry = one.second;
+    return entry.departed || entry.applied >= revision || now - entry.last_grant >= surely_ended;
+  });
+}
+
 protocol::Revision DaemonLeases::settled_everywhere() const {
   return settled_.empty() ? revision_ : std::min(revision_, settled_.begin()->first);
 }
--- a/src/failover/daemon_leases.hpp
+++ b/src/failover/daemon_leases.hpp
@@ -48,6 +48,9 @@
   /// until a configuration without them arrives.
   [[nodiscard]] std::vector<RemovableDaemon> removable(core::Instant now) const;
 
+  /// True when no admitted daemon acts on a configuration older than `revision` under a lease: each has
+  /// applied it, has departed, or its lease has surely ended.
+  [[nodiscard]] bool followed_or_expired(core::Instant now, protocol::Revision revision) const;
   /// Smallest settled revision of all admitted daemons; 0 while one of them has not been heard.
   [[nodiscard]] protocol::Revision settled_everywhere() const;
 
@@ -58,6 +61,7 @@
     bool heard = false;        ///< During this leadership, in this incarnation.
     bool departed = false;
     protocol::Revision settled = 0;
+    protocol::Revision applied = 0;
   };
 
   [[nodiscard]] static bool is_removable(core::Instant now, const Entry& entry);
--- a/src/failover/effects.hpp
+++ b/src/failover/effects.hpp
@@ -2,20 +2,28 @@
 // coordinator asks again until it hears an answer, and every effect is idempotent.
 #pragma once
 
+#include <functional>
 #include <variant>
 #include <vector>
 
+#include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/ids.hpp"
 #include "core/log_position.hpp"
 #include "database/protocol.hpp"
+#include "protocol/configuration.hpp"
 
 namespace pipitpond::failover {
 
+/// True once no daemon acts on an older configuration than that of the revision: each has applied it or has
+/// no lease any more.
+using RevisionFollowed = std::function<bool(core::Instant now, protocol::Revision revision)>;
+
 /// GET /v1/status. Answer with on_probe_answer or on_probe_failed.
 struct ProbeDatabase {
   core::DatabaseId database;
   core::Endpoint endpoint;
+  core::GroupName group;
 };
 
 /// POST /v1/fence. Answer with on_fence_answer, on_refused or on_fence_failed.
@@ -52,6 +60,19 @@
   core::LogPosition start;
 };
 
-using Effect = std::variant<ProbeDatabase, FenceDatabase, PromoteDatabase, ProposeBegin, ProposeComplete>;
+/// Replicated change: take over the primary that a self-registered group already has.
+struct ProposeAdopt {
+  core::GroupName group;
+  core::Term term = 0;
+  core::DatabaseId primary;
+};
+
+/// Replicated change: forget a departed database.
+struct ProposeRemove {
+  core::DatabaseId database;
+};
+
+using Effect = std::variant<ProbeDatabase, FenceDatabase, PromoteDatabase, ProposeBegin, ProposeComplete,
+                            ProposeAdopt, ProposeRemove>;
 
 }  // namespace pipitpond::failover
--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -10,6 +10,7 @@
 
 void GroupCoordinator::reset() {
   watch_.reset();
+  departures_.reset();
   tally_.clear();
   own_term_ = 0;
   planned_not_before_ = {};
@@ -28,7 +29,7 @@
 }
 
 void GroupCoordinator::on_configuration(core::Instant now, const protocol::Group& group,
-                                        std::vector<core::DaemonId> owners) {
+                                        std::vector<core::DaemonId> owners, protocol::Revision revision) {
   const core::Term term_before = last_term();
   group_ = group;
   owners_ = std::move(owners);
@@ -36,10 +37,15 @@
   if (has_primary()) {
     if (phase_ != Phase::kSteady && last_term() >= own_term_) {
       enter_steady();
+      watch_.reset();  // What was seen of the new primary is from before it was one.
+      departures_.reset();
     }
     return;
   }
   const bool own_begin = phase_ == Phase::kBeginning && last_term() == own_term_;
+  if (own_begin) {
+    begin_revision_ = revision;
+  }
   if (own_begin && planned_) {
     start_quiescing(now);
   } else if (own_begin) {
@@ -74,10 +80,14 @@
   }
   switch (phase_) {
     case Phase::kSteady:
-      if (change_is_due(now, heard)) {
+      if (never_had_a_primary()) {
+        adopt_primary(now);
+      } else if (change_is_due(now, heard)) {
         begin(now, false);
       } else if (planned_change_is_due(now, tally_.count(now, owners_, heard, primary(), last_term()))) {
         begin(now, true);
+      } else if (has_primary()) {
+        departures_.tick(now, group_, primary(), watch_, effects_);
       }
       break;
     case Phase::kBeginning:
@@ -96,23 +106,56 @@
       promote(now);
       break;
     case Phase::kCompleting:
-      if (now - proposed_at_ >= kProposalRetry) {
+      if (now - proposed_at_ >= kProposalRetry || acknowledges_by_receipt()) {
         propose_complete(now);
       }
       break;
   }
 }
 
+std::size_t GroupCoordinator::fences_needed() const {
+  return failover::fences_needed(group_.databases.size(), group_.sync_replicas);
+}
+
+core::Duration GroupCoordinator::promote_timeout() const {
+  return acknowledges_by_receipt() ? kOrderedPromotionTimeout : kAnswerTimeout;
+}
+
+core::Duration GroupCoordinator::planned_change_notice() const {
+  // Daemons of such a group go on with the leaving primary until the change begins, so waiting gains nothing.
+  return acknowledges_by_receipt() ? core::Duration::zero() : kPlannedChangeNotice;
+}
+
+// --- The first primary of a self-registered group
+// -------------------------------------------------------------
+
+bool GroupCoordinator::never_had_a_primary() const {
+  return group_.self_registered && group_.terms.empty();
+}
+
+void GroupCoordinator::adopt_primary(core::Instant now) {
+  for (const protocol::Database& database : group_.databases) {
+    const database::StatusAnswer* status = watch_.status(database.id);
+    const bool leads =
+        status != nullptr && status->role == database::Role::kPrimary && watch_.reachable(now, database.id);
+    if (leads) {
+      effects_.emplace_back(ProposeAdopt{group_.name, status->term, database.id});
+      return;
+    }
+  }
+}
+
 // --- Whether to change -------------------------------------------------------------------------------------
 
 bool GroupCoordinator::should_watch() const {
   const bool draining = has_primary() && member(primary()) != nullptr && member(primary())->draining;
-  return !has_primary() || phase_ != Phase::kSteady || !tally_.empty() || owners_.size() < 2 || draining;
+  return !has_primary() || phase_ != Phase::kSteady || !tally_.empty() || owners_.size() < 2 || draining ||
+         DepartureWatch::needed(group_);
 }
 
 bool GroupCoordinator::change_is_due(core::Instant now, const HeardTable& heard) const {
   // A change that can't reach a majority would leave the group without any primary for longer.
-  if (watch_.count_reachable(now) < majority_of(group_.databases.size())) {
+  if (watch_.count_reachable(now) < fences_needed()) {
     return false;
   }
   if (!has_primary()) {
@@ -129,7 +172,9 @@
   if (tally.majority_suspects() || tally.heard_majority_suspects()) {
     return leader_agrees;
   }
-  return tally.owners == 0 && leader_agrees;
+  // Some callers can't write, and the leader itself could not stop the primary: moving it serves all of them.
+  const bool cut_in_part = acknowledges_by_receipt() && tally.part_lost() && leader_lost_primary(now);
+  return cut_in_part || (tally.owners == 0 && leader_agrees);
 }
 
 bool GroupCoordinator::leader_lost_primary(core::Instant now) const {
@@ -137,7 +182,9 @@
     return true;
   }
   const database::StatusAnswer* status = watch_.status(primary());
-  return status != nullptr && watch_.reachable(now, primary()) && status->term >= last_term() &&
+  // Terms of a group that acknowledges by receipt are its own, and may be behind those of control.
+  const bool of_this_term = acknowledges_by_receipt() || (status != nullptr && status->term >= last_term());
+  return status != nullptr && watch_.reachable(now, primary()) && of_this_term &&
          status->role != database::Role::kPrimary;
 }
 
@@ -146,6 +193,9 @@
   if (status == nullptr || !watch_.reachable(now, primary())) {
     return false;
   }
+  if (acknowledges_by_receipt()) {
+    return receipts_missing(now);
+  }
   const bool stalled = status->replication_stalled_ms >= core::to_millis(protocol::kReplicationStallLimit);
   // Without a majority of others there is nobody better; with advancing replicas it is mere slowness.
   const bool others_can_serve =
@@ -153,6 +203,18 @@
   return stalled && others_can_serve && !watch_.replicas_advance(now, primary());
 }
 
+/// Callers wait for the primary's receipts, and no replica in reach receives what the primary has.
+bool GroupCoordinator::receipts_missing(core::Instant now) const {
+  const database::StatusAnswer* status = watch_.status(primary());
+  const bool all_behind =
+      std::all_of(group_.databases.begin(), group_.databases.end(), [&](const protocol::Database& other) {
+        const database::StatusAnswer* seen = watch_.status(other.id);
+        return other.id == primary() || seen == nullptr || seen->received < status->received;
+      });
+  return all_behind && watch_.count_reachable(now, primary()) >= fences_needed() &&
+         !watch_.replicas_advance(now, primary());
+}
+
 bool GroupCoordinator::primary_is_leaving(const Tally& tally) const {
   const protocol::Database* declared = member(primary());
   const database::StatusAnswer* status = watch_.status(primary());
@@ -168,18 +230,18 @@
   if (!leaving_since_) {
     leaving_since_ = now;
   }
-  if (now < planned_not_before_ || now - *leaving_since_ < kPlannedChangeNotice) {
+  if (now < planned_not_before_ || now - *leaving_since_ < planned_change_notice()) {
     return false;
   }
   const database::StatusAnswer* current = watch_.status(primary());
   if (current == nullptr || !watch_.reachable(now, primary()) ||
-      watch_.count_reachable(now) < majority_of(group_.databases.size())) {
+      watch_.count_reachable(now) < fences_needed()) {
     return false;
   }
   return std::any_of(group_.databases.begin(), group_.databases.end(), [&](const protocol::Database& other) {
     const database::StatusAnswer* status = watch_.status(other.id);
-    return other.id != primary() && !other.draining && status != nullptr && !status->leaving &&
-           watch_.reachable(now, other.id) &&
+    return other.id != primary() && !other.draining && !other.departed && status != nullptr &&
+           !status->leaving && watch_.reachable(now, other.id) &&
            status->received.index + kPlannedChangeLag >= current->received.index;
   });
 }
@@ -294,7 +356,7 @@
     one.avoided = database.id == replaced_ || avoided_.contains(database.id);
     fenced.push_back(one);
   }
-  if (fenced.size() < majority_of(group_.databases.size())) {
+  if (fenced.size() < fences_needed()) {
     return;
   }
   if (!majority_since_.has_value()) {
@@ -303,7 +365,8 @@
   if (worth_waiting(now)) {
     return;
   }
-  const std::optional<core::DatabaseId> chosen = choose_primary(fenced, group_.databases.size());
+  const std::optional<core::DatabaseId> chosen =
+      choose_primary(fenced, group_.databases.size(), group_.sync_replicas);
   if (!chosen.has_value()) {
     return;
   }
@@ -319,7 +382,7 @@
 // --- Promote -----------------------------------------------------------------------------------------------
 
 void GroupCoordinator::promote(core::Instant now) {
-  const bool waiting = promote_sent_.has_value() && now - *promote_sent_ < kAnswerTimeout;
+  const bool waiting = promote_sent_.has_value() && now - *promote_sent_ < promote_timeout();
   const bool resting = promote_failed_.has_value() && now - *promote_failed_ < kRetryDelay;
   if (waiting || resting) {
     return;
@@ -353,6 +416,7 @@
   start_ = answer.start;
   phase_ = Phase::kCompleting;
   phase_since_ = now;
+  proposed_at_ = now - kProposalRetry;
   propose_complete(now);
 }
 
@@ -379,6 +443,12 @@
 // --- Complete ----------------------------------------------------------------------------------------------
 
 void GroupCoordinator::propose_complete(core::Instant now) {
+  // Nothing stops reads at the old primary of such a group. A daemon that may still trust it must have
+  // learned of the change, or have lost its lease, before the new primary is given a write to acknowledge.
+  const bool too_early = acknowledges_by_receipt() && !revision_followed_(now, begin_revision_);
+  if (too_early || now - proposed_at_ < kProposalRetry) {
+    return;
+  }
   proposed_at_ = now;
   effects_.emplace_back(ProposeComplete{group_.name, own_term_, candidate_, start_});
 }
--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <vector>
 
+#include "failover/departure_watch.hpp"
 #include "failover/effects.hpp"
 #include "failover/member_watch.hpp"
 #include "failover/suspicion_tally.hpp"
@@ -22,13 +23,15 @@
 /// One group's coordinator.
 class GroupCoordinator {
  public:
-  explicit GroupCoordinator(std::vector<Effect>& effects) : effects_(effects) {}
+  GroupCoordinator(std::vector<Effect>& effects, const RevisionFollowed& revision_followed)
+      : effects_(effects), revision_followed_(revision_followed) {}
 
   /// Forgets everything but the configuration: a change begun under another leadership is not carried on in
   /// its term.
   void reset();
-  /// The group's committed state, and the owners of its current primary.
-  void on_configuration(core::Instant now, const protocol::Group& group, std::vector<core::DaemonId> owners);
+  /// The group's committed state at a revision, and the owners of its current primary.
+  void on_configuration(core::Instant now, const protocol::Group& group, std::vector<core::DaemonId> owners,
+                        protocol::Revision revision);
   void report(const core::DaemonId& daemon, std::vector<protocol::SuspicionReport> reports);
   void on_probe_answer(core::Instant now, const database::StatusAnswer& status);
   void on_probe_failed(core::Instant now, const core::DatabaseId& database);
@@ -54,10 +57,18 @@
   [[nodiscard]] core::DatabaseId primary() const;
   [[nodiscard]] const protocol::Database* member(const core::DatabaseId& database) const;
 
+  [[nodiscard]] std::size_t fences_needed() const;
+  [[nodiscard]] bool acknowledges_by_receipt() const { return group_.sync_replicas > 0; }
+  [[nodiscard]] core::Duration promote_timeout() const;
+  [[nodiscard]] core::Duration planned_change_notice() const;
+
+  [[nodiscard]] bool never_had_a_primary() const;
+  void adopt_primary(core::Instant now);
   [[nodiscard]] bool should_watch() const;
   [[nodiscard]] bool change_is_due(core::Instant now, const HeardTable& heard) const;
   [[nodiscard]] bool leader_lost_primary(core::Instant now) const;
   [[nodiscard]] bool stall_confirmed(core::Instant now) const;
+  [[nodiscard]] bool receipts_missing(core::Instant now) const;
   [[nodiscard]] bool planned_change_is_due(core::Instant now, const Tally& tally);
   [[nodiscard]] bool primary_is_leaving(const Tally& tally) const;
 
@@ -75,9 +86,11 @@
   void propose_complete(core::Instant now);
 
   std::vector<Effect>& effects_;
+  const RevisionFollowed& revision_followed_;
   protocol::Group group_;
   std::vector<core::DaemonId> owners_;
   MemberWatch watch_;
+  DepartureWatch departures_;
   SuspicionTally tally_;
 
   Phase phase_ = Phase::kSteady;
@@ -86,6 +99,7 @@
   core::Instant proposed_at_;
   core::Instant planned_not_before_;
   std::optional<core::Instant> leaving_since_;  ///< When the primary was first found to be leaving.
+  protocol::Revision begin_revision_ = 0;       ///< At which the change that is in progress was begun.
   core::Term own_term_ = 0;                     ///< Term that this leadership has proposed to begin; 0: none.
   core::Term newest_seen_ = 0;                  ///< Greatest term that a database was found to have promised.
   core::DatabaseId replaced_;                   ///< Primary that the change replaces.
@@ -106,6 +120,8 @@
 inline constexpr core::Duration kRetryDelay = std::chrono::milliseconds(100);
 /// A fence or promotion without any answer is sent again after this.
 inline constexpr core::Duration kAnswerTimeout = std::chrono::milliseconds(400);
+/// A promotion of a group that acknowledges by receipt is ordered from outside and takes this long at most.
+inline constexpr core::Duration kOrderedPromotionTimeout = std::chrono::milliseconds(4000);
 /// A proposal that does not show up in the configuration is made again after this.
 inline constexpr core::Duration kProposalRetry = std::chrono::milliseconds(400);
 /// Promotions of one database in one term before the next term is begun.
--- a/src/failover/member_watch.cpp
+++ b/src/failover/member_watch.cpp
@@ -16,6 +16,7 @@
     members[database.id].endpoint = database.endpoint;
   }
   members_ = std::move(members);
+  group_ = group.name;
 }
 
 void MemberWatch::reset() {
@@ -42,7 +43,7 @@
     if (!member.sent.has_value() && due) {
       member.sent = now;
       member.last_sent = now;
-      effects.emplace_back(ProbeDatabase{id, member.endpoint});
+      effects.emplace_back(ProbeDatabase{id, member.endpoint, group_});
     }
   }
 }
--- a/src/failover/member_watch.hpp
+++ b/src/failover/member_watch.hpp
@@ -53,6 +53,7 @@
     core::Instant advanced;  ///< When `received` was last seen to have grown.
   };
 
+  core::GroupName group_;
   std::map<core::DatabaseId, Member> members_;
   std::optional<core::Instant> last_probe_call_;
 };
--- a/src/failover/primary_choice.cpp
+++ b/src/failover/primary_choice.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-bool is_safe(const FencedMember& candidate, const std::vector<FencedMember>& fenced, std::size_t group_size) {
+bool is_safe(const FencedMember& candidate, const std::vector<FencedMember>& fenced, std::size_t needed) {
   const auto not_further = std::count_if(fenced.begin(), fenced.end(), [&](const FencedMember& other) {
     return other.received <= candidate.received;
   });
-  return static_cast<std::size_t>(not_further) >= majority_of(group_size);
+  return static_cast<std::size_t>(not_further) >= needed;
 }
 
 /// Smaller is better.
@@ -32,10 +32,11 @@
 }  // namespace
 
 std::optional<core::DatabaseId> choose_primary(const std::vector<FencedMember>& fenced,
-                                               std::size_t group_size) {
+                                               std::size_t group_size, std::size_t sync_replicas) {
+  const std::size_t needed = fences_needed(group_size, sync_replicas);
   const FencedMember* best = nullptr;
   for (const FencedMember& candidate : fenced) {
-    if (!is_safe(candidate, fenced, group_size)) {
+    if (!is_safe(candidate, fenced, needed)) {
       continue;
     }
     if (best == nullptr || is_better(candidate, *best)) {
--- a/src/failover/suspicion_tally.hpp
+++ b/src/failover/suspicion_tally.hpp
@@ -27,6 +27,8 @@
   [[nodiscard]] bool majority_lost() const { return owners > 1 && 2 * unreachable > owners; }
   /// More than half of all owners mistrust it, for whatever reason.
   [[nodiscard]] bool majority_suspects() const { return owners > 1 && 2 * (unreachable + stalled) > owners; }
+  /// A quarter or more of the owners that are still heard have lost the primary.
+  [[nodiscard]] bool part_lost() const { return unreachable > 0 && 4 * unreachable >= heard; }
   /// More than half of the owners that are still heard mistrust it.
   [[nodiscard]] bool heard_majority_suspects() const {
     return heard > 0 && 2 * (unreachable + stalled) > heard;
--- a/src/ownership/owner_choice.cpp
+++ b/src/ownership/owner_choice.cpp
@@ -34,7 +34,10 @@
 
 }  // namespace
 
-std::size_t owner_count(std::uint32_t slots, std::uint32_t connection_limit) {
+std::size_t owner_count(std::uint32_t slots, std::uint32_t connection_limit, std::uint32_t max_owners) {
+  if (max_owners > 0) {
+    return std::min(max_owners, connection_limit);
+  }
   return std::min({protocol::kOwnersPerDatabase, slots, connection_limit});
 }
 
--- a/src/ownership/owner_choice.hpp
+++ b/src/ownership/owner_choice.hpp
@@ -18,7 +18,7 @@
 };
 
 /// Owners that a database has when enough daemons live.
-std::size_t owner_count(std::uint32_t slots, std::uint32_t connection_limit);
+std::size_t owner_count(std::uint32_t slots, std::uint32_t connection_limit, std::uint32_t max_owners);
 
 /// A daemon's weight for a database.
 std::uint64_t weight_of(const core::DaemonId& daemon, const core::DatabaseId& database);
--- a/src/ownership/owner_table.cpp
+++ b/src/ownership/owner_table.cpp
@@ -164,10 +164,12 @@
   const auto [found, is_new] = entries_.try_emplace(database.id);
   Entry& entry = found->second;
   const bool redeclared = entry.zone != database.zone || entry.slots != database.slots ||
-                          entry.connection_limit != database.connection_limit;
+                          entry.connection_limit != database.connection_limit ||
+                          entry.max_owners != database.max_owners;
   entry.zone = database.zone;
   entry.slots = database.slots;
   entry.connection_limit = database.connection_limit;
+  entry.max_owners = database.max_owners;
   entry.group = group;
   entry.declared = true;
   choose_owners(database.id, entry, changes, is_new || redeclared);
@@ -203,7 +205,7 @@
     }
   }
   weigh(candidates, database);
-  const std::size_t wanted = owner_count(entry.slots, entry.connection_limit);
+  const std::size_t wanted = owner_count(entry.slots, entry.connection_limit, entry.max_owners);
   entry.owners = choose(candidates, entry.zone, wanted);
   entry.least_weight = least_weight(database, entry, wanted);
 }
--- a/src/ownership/owner_table.hpp
+++ b/src/ownership/owner_table.hpp
@@ -36,6 +36,7 @@
     core::ZoneName zone;
     std::uint32_t connection_limit = 0;
     std::uint32_t slots = 0;
+    std::uint32_t max_owners = 0;
     std::vector<core::DaemonId> owners;
     /// A daemon that joins with less weight than this owns nothing here, whatever its zone. Nothing: not
     /// known.
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -17,7 +17,8 @@
     }
   }
   weigh(candidates, database.id);
-  return choose(candidates, database.zone, owner_count(database.slots, database.connection_limit));
+  const std::size_t wanted = owner_count(database.slots, database.connection_limit, database.max_owners);
+  return choose(candidates, database.zone, wanted);
 }
 
 Budget budget_of(const protocol::Configuration& configuration, const protocol::Database& database,
--- /dev/null
+++ b/src/pooling/backend_pool.cpp
@@ -0,0 +1,341 @@
+#include "pooling/backend_pool.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+#include <utility>
+
+#include "pooling/waiting.hpp"
+
+namespace pipitpond::pooling {
+
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr core::Duration kConnectTimeout = std::chrono::milliseconds(500);
+/// After a connection could not be opened, none is tried for this long.
+constexpr core::Duration kOpenPause = std::chrono::milliseconds(50);
+/// A new database is expected to be this quick.
+constexpr core::Duration kFirstLatency = std::chrono::milliseconds(10);
+/// Weight of the newest latency in the average: one part in so many.
+constexpr int kLatencyWeight = 8;
+constexpr core::Duration kBehindMin = std::chrono::milliseconds(20);
+constexpr core::Duration kBehindMax = std::chrono::milliseconds(320);
+
+bool writes(const Statement& statement) {
+  return statement.kind == StatementKind::kCommit || statement.kind == StatementKind::kWrite ||
+         (statement.kind == StatementKind::kExecute && statement.writes);
+}
+
+core::Error closed_error() {
+  return core::Error{core::ErrorKind::kLeaving, "The database is no longer served.", "Choose another one.",
+                     0};
+}
+
+}  // namespace
+
+/// A request that waits for a connection.
+struct PoolWaiter {
+  explicit PoolWaiter(boost::asio::io_context& io) : timer(io) {}
+
+  std::uint32_t priority = 0;
+  boost::asio::steady_timer timer;
+  std::unique_ptr<PooledConnection> connection;
+  std::optional<core::Error> error;
+};
+
+// --- Lease
+// -----------------------------------------------------------------------------------------------------
+
+ConnectionLease::ConnectionLease(std::shared_ptr<BackendPool> pool,
+                                 std::unique_ptr<PooledConnection> connection)
+    : pool_(std::move(pool)), connection_(std::move(connection)) {
+  pool_->in_use_.insert(connection_.get());
+}
+
+ConnectionLease::~ConnectionLease() {
+  give_back();
+}
+
+ConnectionLease& ConnectionLease::operator=(ConnectionLease&& other) noexcept {
+  if (this != &other) {
+    give_back();
+    pool_ = std::move(other.pool_);
+    connection_ = std::move(other.connection_);
+    in_transaction_ = other.in_transaction_;
+  }
+  return *this;
+}
+
+void ConnectionLease::give_back() {
+  if (connection_) {
+    pool_->take_back(std::move(connection_), !in_transaction_);
+  }
+}
+
+void ConnectionLease::discard() {
+  connection_->link->close();
+}
+
+awaitable<core::Result<StatementReply>> ConnectionLease::run(const SessionState& session,
+                                                             BackendStatement statement,
+                                                             core::Duration timeout) {
+  std::vector<BackendStatement> batch;
+  for (Statement& before :
+       align_connection(session, connection_->state, statement.statement, in_transaction_)) {
+    batch.push_back(BackendStatement{std::move(before), {}});
+  }
+  batch.push_back(std::move(statement));
+  co_return co_await run_batch(std::move(batch), timeout);
+}
+
+awaitable<core::Result<StatementReply>> ConnectionLease::run_own(Statement statement,
+                                                                 core::Duration timeout) {
+  std::vector<BackendStatement> batch;
+  batch.push_back(BackendStatement{std::move(statement), {}});
+  co_return co_await run_batch(std::move(batch), timeout);
+}
+
+awaitable<core::Result<StatementReply>> ConnectionLease::run_batch(std::vector<BackendStatement> batch,
+                                                                   core::Duration timeout) {
+  const Statement& asked = batch.back().statement;
+  const bool reads_alone = !in_transaction_ && !writes(asked);
+  connection_->expendable = reads_alone;
+  const core::Instant sent = core::BootClock::now();
+  BackendHealth& health = pool_->health_;
+  const BatchNumber number = health.on_sent(sent, writes(asked));
+  auto replies = co_await connection_->link->run(std::move(batch), timeout);
+  connection_->expendable = false;
+  const core::Instant now = core::BootClock::now();
+  if (!replies) {
+    const bool broke = replies.error().kind != core::ErrorKind::kTimeout;
+    health.on_abandoned(now, number, broke);
+    ++pool_->counters_.broke;
+    co_return replies.error();
+  }
+  health.on_answered(now, number);
+  pool_->note_latency(now - sent);
+  for (std::size_t before = 0; before + 1 < replies.value().size(); ++before) {
+    if (replies.value()[before].failure) {
+      connection_->link->close();
+      co_return core::fail(core::ErrorKind::kConnectionLost,
+                           "The connection could not take the session's state.",
+                           "Run the statement on another connection.");
+    }
+  }
+  StatementReply reply = std::move(replies.value().back());
+  in_transaction_ = reply.state != TransactionState::kIdle;
+  co_return reply;
+}
+
+// --- Pool
+// ------------------------------------------------------------------------------------------------------
+
+BackendPool::BackendPool(boost::asio::io_context& io, BackendConnector& connector, BackendAddress address,
+                         core::ZoneName zone)
+    : io_(io),
+      connector_(connector),
+      address_(std::move(address)),
+      zone_(std::move(zone)),
+      usual_latency_(kFirstLatency) {}
+
+BackendPool::~BackendPool() = default;
+
+void BackendPool::set_budget(std::uint32_t connections) {
+  budget_ = connections;
+  while (!idle_.empty() && held() > budget_) {
+    idle_.pop_front();
+  }
+  open_when_needed();
+}
+
+void BackendPool::close() {
+  closed_ = true;
+  idle_.clear();
+  fail_waiters(closed_error());
+}
+
+awaitable<core::Result<ConnectionLease>> BackendPool::acquire(std::shared_ptr<BackendPool> pool,
+                                                              ConnectionRequest request) {
+  if (pool->closed_) {
+    co_return closed_error();
+  }
+  if (pool->waiters_.empty()) {
+    if (auto idle = pool->take_idle(request.session)) {
+      co_return ConnectionLease(pool, std::move(idle));
+    }
+  }
+  if (!pool->health_.usable()) {
+    co_return core::fail(core::ErrorKind::kConnectionRefused, "The database can't be reached.",
+                         "Choose another one, or try again.");
+  }
+  const auto waiter = std::make_shared<PoolWaiter>(pool->io_);
+  waiter->priority = request.priority;
+  const auto place = std::find_if(
+      pool->waiters_.begin(), pool->waiters_.end(),
+      [&](const std::shared_ptr<PoolWaiter>& other) { return other->priority > request.priority; });
+  pool->waiters_.insert(place, waiter);
+  pool->open_when_needed();
+  if (!waiter->connection && !waiter->error) {
+    waiter->timer.expires_after(std::max(core::Duration::zero(), request.deadline - core::BootClock::now()));
+    boost::system::error_code ignored;
+    co_await waiter->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+  if (waiter->connection) {
+    co_return ConnectionLease(pool, std::move(waiter->connection));
+  }
+  std::erase(pool->waiters_, waiter);
+  if (waiter->error) {
+    co_return *waiter->error;
+  }
+  ++pool->counters_.waited_in_vain;
+  co_return core::fail(core::ErrorKind::kNoCapacity, "No connection to the database came free in time.",
+                       "Try again a little later.", 100);
+}
+
+std::unique_ptr<PooledConnection> BackendPool::take_idle(const SessionState* session) {
+  std::erase_if(idle_, [](const auto& connection) { return !connection->link->is_open(); });
+  if (idle_.empty()) {
+    return nullptr;
+  }
+  auto chosen = std::prev(idle_.end());
+  if (session != nullptr) {
+    const auto fitting = std::find_if(idle_.rbegin(), idle_.rend(), [session](const auto& connection) {
+      return has_values_of(connection->state, *session);
+    });
+    if (fitting != idle_.rend()) {
+      chosen = std::prev(fitting.base());
+    }
+  }
+  std::unique_ptr<PooledConnection> connection = std::move(*chosen);
+  idle_.erase(chosen);
+  return connection;
+}
+
+void BackendPool::open_when_needed() {
+  const bool resting = core::BootClock::now() < next_open_;
+  while (!closed_ && !resting && opening_ < waiters_.size() && held() < budget_) {
+    ++opening_;
+    boost::asio::co_spawn(io_, open_one(shared_from_this()), boost::asio::detached);
+  }
+}
+
+awaitable<void> BackendPool::open_one(std::shared_ptr<BackendPool> self) {
+  auto link = co_await self->connector_.connect(self->address_, kConnectTimeout);
+  --self->opening_;
+  const core::Instant now = core::BootClock::now();
+  if (!link) {
+    ++self->counters_.open_failed;
+    self->next_open_ = now + kOpenPause;
+    self->on_open_failed(link.error());
+    co_return;
+  }
+  ++self->counters_.opened;
+  self->health_.on_connected(now);
+  auto connection = std::make_unique<PooledConnection>();
+  connection->link = std::move(link.value());
+  self->hand_out(std::move(connection));
+}
+
+void BackendPool::on_open_failed(const core::Error& error) {
+  const bool answers = error.kind == core::ErrorKind::kOverloaded;
+  if (!answers) {
+    health_.on_connect_failed(core::BootClock::now());
+  }
+  // Those that wait may get a connection that is in use; without one there is nothing to wait for.
+  if (in_use_.empty() && opening_ == 0) {
+    fail_waiters(error);
+  }
+}
+
+void BackendPool::hand_out(std::unique_ptr<PooledConnection> connection) {
+  if (closed_ || !connection->link->is_open()) {
+    open_when_needed();
+    return;
+  }
+  if (waiters_.empty()) {
+    if (held() < budget_) {
+      idle_.push_back(std::move(connection));
+    }
+    return;
+  }
+  const std::shared_ptr<PoolWaiter> waiter = waiters_.front();
+  waiters_.pop_front();
+  waiter->connection = std::move(connection);
+  waiter->timer.cancel();
+}
+
+void BackendPool::take_back(std::unique_ptr<PooledConnection> connection, bool reusable) {
+  in_use_.erase(connection.get());
+  if (!reusable) {
+    connection->link->close();
+  }
+  hand_out(std::move(connection));
+}
+
+void BackendPool::fail_waiters(const core::Error& error) {
+  const auto waiters = std::exchange(waiters_, {});
+  for (const std::shared_ptr<PoolWaiter>& waiter : waiters) {
+    waiter->error = error;
+    waiter->timer.cancel();
+  }
+}
+
+core::Duration BackendPool::expected_wait() const {
+  const auto before = static_cast<std::int64_t>(in_use_.size() + waiters_.size());
+  return usual_latency_ * (before + 1);
+}
+
+void BackendPool::note_latency(core::Duration taken) {
+  usual_latency_ += (taken - usual_latency_) / kLatencyWeight;
+}
+
+void BackendPool::note_behind(core::Instant now) {
+  behind_for_ = std::clamp(behind_for_ * 2, kBehindMin, kBehindMax);
+  behind_until_ = now + behind_for_;
+}
+
+// --- Probes
+// ----------------------------------------------------------------------------------------------------
+
+void BackendPool::tick(core::Instant now) {
+  if (closed_) {
+    return;
+  }
+  if (health_.take_probe(now)) {
+    ++counters_.probes;
+    boost::asio::co_spawn(io_, probe(shared_from_this()), boost::asio::detached);
+  }
+  open_when_needed();
+}
+
+/// On a connection of its own: an old one may hang although the database is well.
+awaitable<void> BackendPool::probe(std::shared_ptr<BackendPool> self) {
+  auto link = co_await self->connector_.connect(self->address_, kDoubtProbeTimeout);
+  bool answered = link.has_value();
+  bool refused = false;
+  if (!link) {
+    answered = link.error().kind == core::ErrorKind::kOverloaded;
+    refused = link.error().kind == core::ErrorKind::kConnectionRefused;
+  }
+  self->health_.on_probe(core::BootClock::now(), answered, refused);
+  if (!self->health_.usable()) {
+    self->cut_off_expendable();
+  }
+}
+
+void BackendPool::cut_off_expendable() {
+  idle_.clear();
+  for (PooledConnection* connection : in_use_) {
+    if (connection->expendable) {
+      connection->link->close();
+    }
+  }
+  fail_waiters(core::Error{core::ErrorKind::kConnectionRefused, "The database can't be reached.",
+                           "Choose another one, or try again.", 100});
+}
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/backend_pool.hpp
@@ -0,0 +1,155 @@
+// The connections to one database: opened on demand within a budget, shared by callers' sessions, handed out
+// by priority and order of arrival. Single-threaded.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "core/clock.hpp"
+#include "core/error.hpp"
+#include "pooling/backend.hpp"
+#include "pooling/backend_health.hpp"
+#include "pooling/session_state.hpp"
+
+namespace pipitpond::pooling {
+
+class BackendPool;
+struct PoolWaiter;
+
+/// A connection and what it has been told.
+struct PooledConnection {
+  std::unique_ptr<BackendConnection> link;
+  ConnectionState state;
+  /// A read under way on it may be run elsewhere: it is cut off when the database is found unreachable.
+  bool expendable = false;
+};
+
+/// The right to use one connection. Gives it back when it is destroyed: open and outside a transaction, or
+/// else closed.
+class ConnectionLease {
+ public:
+  ConnectionLease(std::shared_ptr<BackendPool> pool, std::unique_ptr<PooledConnection> connection);
+  ~ConnectionLease();
+  ConnectionLease(ConnectionLease&&) noexcept = default;
+  ConnectionLease& operator=(ConnectionLease&&) noexcept;
+  ConnectionLease(const ConnectionLease&) = delete;
+  ConnectionLease& operator=(const ConnectionLease&) = delete;
+
+  /// Runs one statement of a session: aligns the connection first. The lease must outlive the call. Errors as
+  /// BackendConnection::run; a statement that had to go before it and failed counts as a lost connection.
+  boost::asio::awaitable<core::Result<StatementReply>> run(const SessionState& session,
+                                                           BackendStatement statement,
+                                                           core::Duration timeout);
+  /// Runs a statement of the proxy itself.
+  boost::asio::awaitable<core::Result<StatementReply>> run_own(Statement statement, core::Duration timeout);
+
+  [[nodiscard]] const std::shared_ptr<BackendPool>& pool() const { return pool_; }
+  /// The connection is closed, not given back.
+  void discard();
+
+ private:
+  boost::asio::awaitable<core::Result<StatementReply>> run_batch(std::vector<BackendStatement> batch,
+                                                                 core::Duration timeout);
+  void give_back();
+
+  std::shared_ptr<BackendPool> pool_;
+  std::unique_ptr<PooledConnection> connection_;
+  bool in_transaction_ = false;
+};
+
+/// Who asks for a connection.
+struct ConnectionRequest {
+  std::uint32_t priority = 0;  ///< 0 goes first.
+  core::Instant deadline;
+  const SessionState* session = nullptr;  ///< Connections that have its values are preferred.
+};
+
+/// What a pool counts since its start.
+struct PoolCounters {
+  std::uint64_t opened = 0;
+  std::uint64_t open_failed = 0;
+  std::uint64_t broke = 0;
+  std::uint64_t waited_in_vain = 0;
+  std::uint64_t probes = 0;
+};
+
+/// The pool of one database.
+class BackendPool : public std::enable_shared_from_this<BackendPool> {
+ public:
+  BackendPool(boost::asio::io_context& io, BackendConnector& connector, BackendAddress address,
+              core::ZoneName zone);
+  ~BackendPool();
+  BackendPool(const BackendPool&) = delete;
+  BackendPool& operator=(const BackendPool&) = delete;
+
+  /// Connections that may be held; idle ones beyond it are closed.
+  void set_budget(std::uint32_t connections);
+  /// The database is gone or this daemon stops: no more connections. Those in use are closed when given back.
+  void close();
+
+  /// A free connection, or a new one, or the next that is given back. Fails with kConnectionRefused (the
+  /// database can't be reached), kNoCapacity (none came free before the deadline) or kLeaving (closed).
+  static boost::asio::awaitable<core::Result<ConnectionLease>> acquire(std::shared_ptr<BackendPool> pool,
+                                                                       ConnectionRequest request);
+
+  /// Sends a probe when the database is in doubt, and cuts off reads when it is found unreachable.
+  void tick(core::Instant now);
+
+  [[nodiscard]] const BackendAddress& address() const { return address_; }
+  [[nodiscard]] const core::ZoneName& zone() const { return zone_; }
+  [[nodiscard]] BackendHealth& health() { return health_; }
+  [[nodiscard]] const BackendHealth& health() const { return health_; }
+  [[nodiscard]] bool closed() const { return closed_; }
+  [[nodiscard]] std::uint32_t budget() const { return budget_; }
+  /// Connections held, opening ones included.
+  [[nodiscard]] std::size_t held() const { return idle_.size() + in_use_.size() + opening_; }
+  [[nodiscard]] std::size_t in_use() const { return in_use_.size(); }
+  [[nodiscard]] std::size_t waiting() const { return waiters_.size(); }
+  /// What the next request has to expect: time of a usual statement, and of those before it.
+  [[nodiscard]] core::Duration expected_wait() const;
+  /// The database was found to lack a position that reads needed.
+  void note_behind(core::Instant now);
+  /// It had the position that a read needed.
+  void note_caught_up() { behind_for_ = core::Duration::zero(); }
+  [[nodiscard]] bool behind(core::Instant now) const { return now < behind_until_; }
+  [[nodiscard]] const PoolCounters& counters() const { return counters_; }
+
+ private:
+  friend class ConnectionLease;
+
+  std::unique_ptr<PooledConnection> take_idle(const SessionState* session);
+  void open_when_needed();
+  static boost::asio::awaitable<void> open_one(std::shared_ptr<BackendPool> self);
+  void on_open_failed(const core::Error& error);
+  void hand_out(std::unique_ptr<PooledConnection> connection);
+  void take_back(std::unique_ptr<PooledConnection> connection, bool reusable);
+  void fail_waiters(const core::Error& error);
+  static boost::asio::awaitable<void> probe(std::shared_ptr<BackendPool> self);
+  void cut_off_expendable();
+  void note_latency(core::Duration taken);
+
+  boost::asio::io_context& io_;
+  BackendConnector& connector_;
+  BackendAddress address_;
+  core::ZoneName zone_;
+  BackendHealth health_;
+  std::uint32_t budget_ = 0;
+  bool closed_ = false;
+  std::size_t opening_ = 0;
+  core::Instant next_open_{};
+  std::deque<std::unique_ptr<PooledConnection>> idle_;  ///< The one used last is at the back.
+  std::set<PooledConnection*> in_use_;
+  std::list<std::shared_ptr<PoolWaiter>> waiters_;  ///< By priority, then order of arrival.
+  core::Duration usual_latency_;
+  core::Instant behind_until_{};
+  core::Duration behind_for_{};
+  PoolCounters counters_;
+};
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/backends.cpp
@@ -0,0 +1,215 @@
+#include "pooling/backends.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pipitpond::pooling {
+
+Backends::Backends(boost::asio::io_context& io, BackendConnector& connector, agent::Agent& agent,
+                   core::DaemonId self, core::ZoneName zone)
+    : io_(io), connector_(connector), agent_(agent), self_(std::move(self)), zone_(std::move(zone)) {}
+
+// --- The configuration
+// -----------------------------------------------------------------------------------------
+
+void Backends::apply(const protocol::Configuration& configuration) {
+  if (closed_) {
+    return;
+  }
+  for (auto& [name, view] : groups_) {
+    if (!configuration.groups.contains(name)) {
+      for (auto& [id, member] : view.members) {
+        member.pool->close();
+      }
+    }
+  }
+  std::erase_if(groups_, [&](const auto& entry) { return !configuration.groups.contains(entry.first); });
+  for (const auto& [name, group] : configuration.groups) {
+    apply_group(group);
+  }
+  set_budgets();
+}
+
+void Backends::apply_group(const protocol::Group& group) {
+  GroupView& view = groups_[group.name];
+  std::map<core::DatabaseId, Member> members;
+  for (const protocol::Database& database : group.databases) {
+    Member member;
+    const auto known = view.members.find(database.id);
+    const bool same_place =
+        known != view.members.end() && known->second.pool->address().endpoint == database.endpoint;
+    if (same_place) {
+      member.pool = known->second.pool;
+      view.members.erase(known);
+    } else {
+      const BackendAddress address{database.endpoint, group.name, database.id};
+      member.pool = std::make_shared<BackendPool>(io_, connector_, address, database.zone);
+    }
+    member.draining = database.draining;
+    member.departed = database.departed;
+    members.emplace(database.id, std::move(member));
+  }
+  for (auto& [id, gone] : view.members) {
+    gone.pool->close();
+  }
+  view.members = std::move(members);
+  const core::Term term = group.terms.empty() ? 0 : group.terms.back().term;
+  if (term != view.term) {
+    for (auto& [id, member] : view.members) {
+      member.pool->health().on_new_term();
+    }
+  }
+  view.term = term;
+  view.primary = group.terms.empty() ? core::DatabaseId() : group.terms.back().primary;
+}
+
+void Backends::set_budgets() {
+  for (auto& [name, view] : groups_) {
+    for (auto& [id, member] : view.members) {
+      const std::vector<core::DaemonId>& owners = agent_.owner_table().owners(id);
+      const bool owns = std::find(owners.begin(), owners.end(), self_) != owners.end();
+      const protocol::Database* declared = ownership::find_database(agent_.configuration(), id);
+      const bool counts = owns && declared != nullptr && !closed_;
+      const auto share = counts ? declared->connection_limit / owners.size() : 0;
+      member.pool->set_budget(static_cast<std::uint32_t>(std::max<std::size_t>(share, counts ? 1 : 0)));
+    }
+  }
+}
+
+void Backends::close() {
+  closed_ = true;
+  for (auto& [name, view] : groups_) {
+    for (auto& [id, member] : view.members) {
+      member.pool->close();
+    }
+  }
+}
+
+void Backends::tick(core::Instant now) {
+  if (closed_) {
+    return;
+  }
+  for (auto& [name, view] : groups_) {
+    for (auto& [id, member] : view.members) {
+      if (!member.departed) {
+        member.pool->tick(now);
+      }
+    }
+  }
+  report_suspicions(now);
+}
+
+void Backends::report_suspicions(core::Instant now) {
+  std::vector<protocol::SuspicionReport> reports;
+  for (auto& [name, view] : groups_) {
+    for (auto& [id, member] : view.members) {
+      const auto suspicion = member.pool->health().suspicion(now, id == view.primary);
+      if (suspicion) {
+        reports.push_back(protocol::SuspicionReport{id, *suspicion, view.term, 0});
+      }
+    }
+  }
+  agent_.set_suspicions(std::move(reports));
+}
+
+// --- Choice
+// ----------------------------------------------------------------------------------------------------
+
+const Backends::GroupView* Backends::find(const core::GroupName& group) const {
+  const auto found = groups_.find(group);
+  return found == groups_.end() ? nullptr : &found->second;
+}
+
+std::optional<BackendChoice> Backends::choose(const core::GroupName& group, const BackendNeed& need,
+                                              core::Instant now) const {
+  const GroupView* view = find(group);
+  if (view == nullptr) {
+    return std::nullopt;
+  }
+  if (!need.primary && need.after) {
+    if (auto replica = choose_replica(*view, need, now)) {
+      return replica;
+    }
+  }
+  return choose_primary(*view, need);
+}
+
+std::optional<BackendChoice> Backends::choose_primary(const GroupView& view, const BackendNeed& need) const {
+  const auto primary = view.members.find(view.primary);
+  if (primary == view.members.end() || need.avoided.contains(view.primary) ||
+      !primary->second.pool->health().usable()) {
+    return std::nullopt;
+  }
+  return BackendChoice{primary->second.pool, true, view.term};
+}
+
+std::optional<BackendChoice> Backends::choose_replica(const GroupView& view, const BackendNeed& need,
+                                                      core::Instant now) const {
+  std::shared_ptr<BackendPool> best;
+  core::Duration least{};
+  for (const auto& [id, member] : view.members) {
+    const BackendPool& pool = *member.pool;
+    const bool serves = id != view.primary && !member.draining && !member.departed &&
+                        pool.health().usable() && pool.budget() > 0 && !pool.behind(now) &&
+                        !need.avoided.contains(id);
+    if (!serves) {
+      continue;
+    }
+    const core::Duration expected = cost(pool);
+    if (best == nullptr || expected < least) {
+      best = member.pool;
+      least = expected;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return BackendChoice{std::move(best), false, view.term};
+}
+
+core::Duration Backends::cost(const BackendPool& pool) const {
+  return pool.expected_wait() + (pool.zone() == zone_ ? core::Duration::zero() : kOtherZoneCost);
+}
+
+// --- Primaries and freshness
+// -----------------------------------------------------------------------------------
+
+bool Backends::surely_primary(const core::GroupName& group, const BackendChoice& choice,
+                              core::Instant now) const {
+  const GroupView* view = find(group);
+  return view != nullptr && choice.is_primary && view->term == choice.term &&
+         view->primary == choice.pool->address().database && agent_.lease_valid(now);
+}
+
+std::optional<core::LogPosition> Backends::position_for(const core::GroupName& group,
+                                                        core::Duration staleness, core::Instant now) const {
+  const GroupView* view = find(group);
+  return view == nullptr ? std::nullopt : view->positions.covering(now - staleness);
+}
+
+void Backends::note_position(const core::GroupName& group, const BackendChoice& choice, core::Instant sent,
+                             core::Instant now, const core::LogPosition& position) {
+  if (surely_primary(group, choice, now)) {
+    groups_.at(group).positions.note(sent, position);
+  }
+}
+
+std::size_t Backends::connections() const {
+  std::size_t held = 0;
+  for (const auto& pool : pools()) {
+    held += pool->held();
+  }
+  return held;
+}
+
+std::vector<std::shared_ptr<BackendPool>> Backends::pools() const {
+  std::vector<std::shared_ptr<BackendPool>> pools;
+  for (const auto& [name, view] : groups_) {
+    for (const auto& [id, member] : view.members) {
+      pools.push_back(member.pool);
+    }
+  }
+  return pools;
+}
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/backends.hpp
@@ -0,0 +1,106 @@
+// All databases as one proxy daemon sees them: which group has which, who is the primary, how fresh a log
+// must be, and where a statement is best run. Follows the configuration that control sends.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agent/agent.hpp"
+#include "core/clock.hpp"
+#include "pooling/backend_pool.hpp"
+#include "pooling/freshness.hpp"
+#include "protocol/configuration.hpp"
+
+namespace pipitpond::pooling {
+
+/// What a statement needs of a database.
+struct BackendNeed {
+  bool primary = false;  ///< Writes, and reads that must see every write.
+  /// Reads elsewhere: the log must reach this position. Empty: not known, so that only the primary will do.
+  std::optional<core::LogPosition> after;
+  std::set<core::DatabaseId> avoided;  ///< Failed for this statement before.
+};
+
+/// A database chosen for a statement.
+struct BackendChoice {
+  std::shared_ptr<BackendPool> pool;
+  bool is_primary = false;
+  core::Term term = 0;  ///< Of the group, when it was chosen.
+};
+
+/// The directory of databases.
+class Backends {
+ public:
+  Backends(boost::asio::io_context& io, BackendConnector& connector, agent::Agent& agent, core::DaemonId self,
+           core::ZoneName zone);
+
+  /// A newer configuration is in force.
+  void apply(const protocol::Configuration& configuration);
+  /// Call every kBackendsTick: budgets, probes, what is to be told to control.
+  void tick(core::Instant now);
+  /// No further connections; those in use end with their statements.
+  void close();
+
+  /// The best database for a need; empty when none will do now.
+  [[nodiscard]] std::optional<BackendChoice> choose(const core::GroupName& group, const BackendNeed& need,
+                                                    core::Instant now) const;
+  /// True when the database that was chosen as a primary surely still is: no newer term is known here, and
+  /// control's lease was valid until `now`.
+  [[nodiscard]] bool surely_primary(const core::GroupName& group, const BackendChoice& choice,
+                                    core::Instant now) const;
+  /// The position that a log needs for reads that may be `staleness` old.
+  [[nodiscard]] std::optional<core::LogPosition> position_for(const core::GroupName& group,
+                                                              core::Duration staleness,
+                                                              core::Instant now) const;
+  /// A database showed a position in answer to what was sent at `sent`. Counts if it is surely the primary.
+  void note_position(const core::GroupName& group, const BackendChoice& choice, core::Instant sent,
+                     core::Instant now, const core::LogPosition& position);
+
+  [[nodiscard]] std::size_t connections() const;
+  /// Pools by database, for metrics.
+  [[nodiscard]] std::vector<std::shared_ptr<BackendPool>> pools() const;
+
+ private:
+  struct Member {
+    std::shared_ptr<BackendPool> pool;
+    bool draining = false;
+    bool departed = false;
+  };
+
+  struct GroupView {
+    std::map<core::DatabaseId, Member> members;
+    core::DatabaseId primary;  ///< Empty while it changes.
+    core::Term term = 0;
+    PrimaryPositions positions;
+  };
+
+  void apply_group(const protocol::Group& group);
+  void set_budgets();
+  void report_suspicions(core::Instant now);
+  [[nodiscard]] const GroupView* find(const core::GroupName& group) const;
+  [[nodiscard]] std::optional<BackendChoice> choose_replica(const GroupView& view, const BackendNeed& need,
+                                                            core::Instant now) const;
+  [[nodiscard]] std::optional<BackendChoice> choose_primary(const GroupView& view,
+                                                            const BackendNeed& need) const;
+  [[nodiscard]] core::Duration cost(const BackendPool& pool) const;
+
+  boost::asio::io_context& io_;
+  BackendConnector& connector_;
+  agent::Agent& agent_;
+  core::DaemonId self_;
+  core::ZoneName zone_;
+  std::map<core::GroupName, GroupView> groups_;
+  bool closed_ = false;
+};
+
+/// How often to call Backends::tick.
+inline constexpr core::Duration kBackendsTick = std::chrono::milliseconds(50);
+/// What the way to another zone counts, in time of waiting: bytes between zones have a price.
+inline constexpr core::Duration kOtherZoneCost = std::chrono::milliseconds(8);
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/caller_session.cpp
@@ -0,0 +1,440 @@
+#include "pooling/caller_session.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "pooling/waiting.hpp"
+
+namespace pipitpond::pooling {
+
+using boost::asio::awaitable;
+
+namespace {
+
+/// A statement that finds no database is given up after this part of its time, so that its caller has time
+/// left to come back: numerator and denominator.
+constexpr int kWaitingShareNumerator = 2;
+constexpr int kWaitingShareDenominator = 5;
+/// A read that failed at one database may still seek another one for this long.
+constexpr core::Duration kSecondSearch = std::chrono::milliseconds(150);
+/// Reads that ran and failed are run this often in all.
+constexpr std::uint32_t kReadAttempts = 3;
+constexpr core::Duration kBusyPause = std::chrono::milliseconds(10);
+constexpr core::Duration kNoBackendPause = std::chrono::milliseconds(15);
+/// When a caller may come back after its statement was given up.
+constexpr core::Duration kComeBackAfter = std::chrono::milliseconds(100);
+
+bool may_write(const Statement& statement) {
+  return statement.kind == StatementKind::kWrite ||
+         (statement.kind == StatementKind::kExecute && statement.writes);
+}
+
+bool begins(const Statement& statement) {
+  return statement.kind == StatementKind::kBegin || statement.kind == StatementKind::kBeginReadOnly;
+}
+
+StatementReply done_here(TransactionState state) {
+  StatementReply reply;
+  reply.state = state;
+  return reply;
+}
+
+std::string come_back_text(const std::string& reason) {
+  return "retry in " + std::to_string(core::to_millis(kComeBackAfter)) + " ms: " + reason;
+}
+
+core::Duration time_left(core::Instant deadline, core::Instant now) {
+  return std::max(core::Duration::zero(), deadline - now);
+}
+
+}  // namespace
+
+CallerSession::CallerSession(SessionServices& services, std::string database)
+    : services_(services), database_(std::move(database)) {
+  services_.sessions.insert(this);
+}
+
+CallerSession::~CallerSession() {
+  services_.sessions.erase(this);
+}
+
+TransactionState CallerSession::state() const {
+  if (!transaction_) {
+    return TransactionState::kIdle;
+  }
+  return transaction_->failed ? TransactionState::kFailed : TransactionState::kOpen;
+}
+
+awaitable<StatementReply> CallerSession::run(Statement statement) {
+  running_ = true;
+  ++services_.counters.statements;
+  StatementReply reply = co_await dispatch(std::move(statement));
+  running_ = false;
+  count(reply);
+  if (transaction_) {
+    transaction_->rested_since = core::BootClock::now();
+  }
+  co_return reply;
+}
+
+void CallerSession::count(const StatementReply& reply) {
+  if (reply.failure) {
+    ++services_.counters.failures.at(static_cast<std::size_t>(reply.failure->code));
+  } else {
+    ++services_.counters.succeeded;
+  }
+}
+
+awaitable<StatementReply> CallerSession::dispatch(Statement statement) {
+  const bool ends = statement.kind == StatementKind::kCommit || statement.kind == StatementKind::kRollback;
+  if (state() == TransactionState::kFailed) {
+    co_return end_failed_transaction(statement);
+  }
+  switch (statement.kind) {
+    case StatementKind::kSetValue:
+      co_return set_value(statement);
+    case StatementKind::kPrepare:
+      co_return prepare(statement);
+    case StatementKind::kForget:
+      co_return forget(statement);
+    case StatementKind::kReset:
+      co_return failed_reply(FailureCode::kBad, "not for callers", state());
+    default:
+      break;
+  }
+  if (statement.kind == StatementKind::kExecute) {
+    const auto known = session_.prepared.find(statement.name);
+    if (known == session_.prepared.end()) {
+      co_return failed_reply(FailureCode::kNoStatement, statement.name, state());
+    }
+    statement.writes = known->second.writes;
+  }
+  if (transaction_) {
+    if (begins(statement)) {
+      co_return failed_reply(FailureCode::kBad, "a transaction is open", state());
+    }
+    co_return co_await run_in_transaction(std::move(statement));
+  }
+  if (ends) {
+    co_return failed_reply(FailureCode::kBad, "no transaction is open", TransactionState::kIdle);
+  }
+  co_return co_await run_first(std::move(statement));
+}
+
+// --- Answered here
+// -------------------------------------------------------------------------------------------
+
+StatementReply CallerSession::set_value(const Statement& statement) {
+  session_.values[statement.name] = statement.arguments;
+  return done_here(state());
+}
+
+StatementReply CallerSession::prepare(const Statement& statement) {
+  session_.prepared[statement.name] = PreparedShape{statement.writes, statement.arguments};
+  return done_here(state());
+}
+
+StatementReply CallerSession::forget(const Statement& statement) {
+  session_.prepared.erase(statement.name);
+  return done_here(state());
+}
+
+/// The end of a failed transaction ends it, and says so; nothing of it is kept. All else is refused.
+StatementReply CallerSession::end_failed_transaction(const Statement& statement) {
+  if (statement.kind == StatementKind::kRollback) {
+    leave_transaction();
+    return done_here(TransactionState::kIdle);
+  }
+  if (statement.kind == StatementKind::kCommit) {
+    leave_transaction();
+    return failed_reply(FailureCode::kAborted, "the transaction has failed", TransactionState::kIdle);
+  }
+  return failed_reply(FailureCode::kBad, "the transaction has failed", TransactionState::kFailed);
+}
+
+// --- The first statement: seeks a database
+// -------------------------------------------------------------------
+
+std::optional<CallerSession::Search> CallerSession::begin_search(Statement statement) const {
+  auto route = services_.routes.find(database_);
+  if (!route) {
+    return std::nullopt;
+  }
+  Search search;
+  const core::Duration timeout = std::chrono::milliseconds(route->timeout_ms);
+  search.started = core::BootClock::now();
+  search.deadline = search.started + timeout;
+  search.stop_waiting = search.started + timeout * kWaitingShareNumerator / kWaitingShareDenominator;
+  search.needs_primary = route->kind == protocol::RouteKind::kPrimary || may_write(statement) ||
+                         statement.kind == StatementKind::kBegin;
+  search.route = std::move(*route);
+  search.statement = std::move(statement);
+  search.last_failure = Failure{FailureCode::kBusy, "no database can serve it now"};
+  return search;
+}
+
+awaitable<StatementReply> CallerSession::run_first(Statement statement) {
+  auto search = begin_search(std::move(statement));
+  if (!search) {
+    co_return failed_reply(FailureCode::kUnknownDatabase, database_, TransactionState::kIdle);
+  }
+  while (true) {
+    auto reply = co_await attempt(*search);
+    if (reply) {
+      co_return std::move(*reply);
+    }
+    const core::Instant now = core::BootClock::now();
+    if (now >= search->stop_waiting) {
+      co_return give_up(*search);
+    }
+    if (search->pause > core::Duration::zero()) {
+      co_await pause_for(services_.io, std::min(search->pause, search->stop_waiting - now));
+      search->pause = core::Duration::zero();
+    }
+  }
+}
+
+StatementReply CallerSession::give_up(const Search& search) const {
+  ++services_.counters.given_up;
+  Failure failure = search.last_failure;
+  if (surely_not_run(failure.code)) {
+    failure = Failure{FailureCode::kBusy, come_back_text(failure.text)};
+  }
+  return failed_reply(failure.code, failure.text, TransactionState::kIdle);
+}
+
+BackendNeed CallerSession::need_of(const Search& search, core::Instant now) const {
+  BackendNeed need;
+  need.primary = search.needs_primary;
+  need.avoided = search.avoided;
+  if (search.route.kind == protocol::RouteKind::kPrimary) {
+    return need;
+  }
+  const core::Duration staleness = std::chrono::milliseconds(search.route.max_staleness_ms);
+  need.after = services_.backends.position_for(search.route.group, staleness, now);
+  const bool own_matters = search.route.kind == protocol::RouteKind::kSession && own_position_.has_value();
+  if (need.after && own_matters) {
+    need.after = std::max(*need.after, *own_position_);
+  }
+  return need;
+}
+
+awaitable<std::optional<StatementReply>> CallerSession::attempt(Search& search) {
+  const core::Instant now = core::BootClock::now();
+  auto choice = services_.backends.choose(search.route.group, need_of(search, now), now);
+  if (!choice) {
+    search.avoided.clear();
+    search.pause = kNoBackendPause;
+    co_return std::nullopt;
+  }
+  const ConnectionRequest request{search.route.priority, search.stop_waiting, &session_};
+  auto lease = co_await BackendPool::acquire(choice->pool, request);
+  if (!lease) {
+    search.last_failure = Failure{FailureCode::kBusy, lease.error().message};
+    search.avoided.insert(choice->pool->address().database);
+    search.pause = choice->is_primary ? kBusyPause : core::Duration::zero();
+    co_return std::nullopt;
+  }
+  co_return co_await attempt_at(search, std::move(*choice), std::move(lease.value()));
+}
+
+awaitable<std::optional<StatementReply>> CallerSession::attempt_at(Search& search, BackendChoice choice,
+                                                                   ConnectionLease lease) {
+  const core::Instant sent = core::BootClock::now();
+  // The wait for the connection may have been long: what was fresh enough then may not be any more.
+  const BackendNeed need = need_of(search, sent);
+  BackendStatement statement{search.statement, {}};
+  if (!may_write(search.statement)) {
+    statement.after = need.after;
+  }
+  auto ran = co_await lease.run(session_, std::move(statement), time_left(search.deadline, sent));
+  const core::Instant now = core::BootClock::now();
+  if (!ran) {
+    co_return on_lost(search, choice, ran.error());
+  }
+  StatementReply reply = std::move(ran.value());
+  if (reply.position) {
+    services_.backends.note_position(search.route.group, choice, sent, now, *reply.position);
+  }
+  if (reply.failure) {
+    if (reply.failure->code == FailureCode::kNoStatement) {
+      lease.discard();  // The connection does not know a name that it was given.
+    }
+    co_return on_failure(search, choice, std::move(reply));
+  }
+  if (!may_write(search.statement) && !surely_fresh(search, choice, need, now)) {
+    search.last_failure = Failure{FailureCode::kBusy, "the primary is not certain"};
+    search.pause = kNoBackendPause;
+    if (begins(search.statement)) {
+      lease.discard();
+    }
+    co_return std::nullopt;
+  }
+  co_return accept(search, choice, std::move(lease), std::move(reply));
+}
+
+/// A position that the database had to reach makes a read fresh, but for routes whose reads must see every
+/// write: there only the primary will do, and control's lease is what says that it still is one.
+bool CallerSession::surely_fresh(const Search& search, const BackendChoice& choice, const BackendNeed& need,
+                                 core::Instant now) const {
+  const bool by_position = search.route.kind != protocol::RouteKind::kPrimary && need.after.has_value();
+  return by_position || services_.backends.surely_primary(search.route.group, choice, now);
+}
+
+std::optional<StatementReply> CallerSession::on_lost(Search& search, const BackendChoice& choice,
+                                                     const core::Error& error) {
+  const core::Instant now = core::BootClock::now();
+  search.avoided.insert(choice.pool->address().database);
+  search.last_failure = Failure{FailureCode::kBusy, error.message};
+  if (error.kind == core::ErrorKind::kConnectionRefused) {
+    return std::nullopt;
+  }
+  if (may_write(search.statement)) {
+    return failed_reply(FailureCode::kUnsure, error.message, TransactionState::kIdle);
+  }
+  const bool timed_out = error.kind == core::ErrorKind::kTimeout || now >= search.deadline;
+  if (timed_out || ++search.failed_reads >= kReadAttempts) {
+    const FailureCode code = timed_out ? FailureCode::kTimeout : FailureCode::kAborted;
+    return failed_reply(code, error.message, TransactionState::kIdle);
+  }
+  ++services_.counters.retried;
+  search.stop_waiting = std::min(search.deadline, std::max(search.stop_waiting, now + kSecondSearch));
+  return std::nullopt;
+}
+
+std::optional<StatementReply> CallerSession::on_failure(Search& search, const BackendChoice& choice,
+                                                        StatementReply reply) {
+  BackendPool& pool = *choice.pool;
+  search.last_failure = *reply.failure;
+  const FailureCode code = reply.failure->code;
+  if (code == FailureCode::kBehind) {
+    pool.note_behind(core::BootClock::now());
+  }
+  if (code == FailureCode::kReadOnly && choice.is_primary) {
+    pool.health().on_refused_write();
+  }
+  if (surely_not_run(code)) {
+    ++services_.counters.retried;
+    if (choice.is_primary) {
+      search.pause = code == FailureCode::kReadOnly ? kNoBackendPause : kBusyPause;
+    } else {
+      search.avoided.insert(pool.address().database);
+    }
+    return std::nullopt;
+  }
+  const bool ran_and_failed = code == FailureCode::kFailed || code == FailureCode::kTimeout;
+  const bool again = ran_and_failed && !may_write(search.statement) && ++search.failed_reads < kReadAttempts;
+  if (again) {
+    ++services_.counters.retried;
+    search.avoided.insert(pool.address().database);
+    search.stop_waiting =
+        std::min(search.deadline, std::max(search.stop_waiting, core::BootClock::now() + kSecondSearch));
+    return std::nullopt;
+  }
+  reply.state = TransactionState::kIdle;
+  return reply;
+}
+
+StatementReply CallerSession::accept(const Search& search, const BackendChoice& choice, ConnectionLease lease,
+                                     StatementReply reply) {
+  choice.pool->note_caught_up();
+  if (may_write(search.statement)) {
+    note_own_position(reply);
+  } else if (!begins(search.statement)) {
+    ++(choice.is_primary ? services_.counters.reads_at_primaries : services_.counters.reads_at_replicas);
+  }
+  if (begins(search.statement)) {
+    transaction_.emplace();
+    transaction_->route = search.route;
+    transaction_->choice = choice;
+    transaction_->lease.emplace(std::move(lease));
+    transaction_->rested_since = core::BootClock::now();
+  }
+  return reply;
+}
+
+void CallerSession::note_own_position(const StatementReply& reply) {
+  if (reply.position) {
+    own_position_ = own_position_ ? std::max(*own_position_, *reply.position) : *reply.position;
+  }
+}
+
+// --- Inside a transaction
+// -------------------------------------------------------------------------------------
+
+awaitable<StatementReply> CallerSession::run_in_transaction(Statement statement) {
+  const core::Duration timeout = std::chrono::milliseconds(transaction_->route.timeout_ms);
+  const core::Instant sent = core::BootClock::now();
+  auto ran = co_await transaction_->lease->run(session_, BackendStatement{statement, {}}, timeout);
+  if (!ran) {
+    co_return on_transaction_lost(statement, ran.error());
+  }
+  StatementReply reply = std::move(ran.value());
+  if (reply.position) {
+    services_.backends.note_position(transaction_->route.group, transaction_->choice, sent,
+                                     core::BootClock::now(), *reply.position);
+  }
+  after_transaction_statement(statement, reply);
+  co_return reply;
+}
+
+/// The database rolls back when the connection ends, so nothing is kept unless a commit may have arrived.
+StatementReply CallerSession::on_transaction_lost(const Statement& statement, const core::Error& error) {
+  const bool may_be_kept = statement.kind == StatementKind::kCommit && transaction_->wrote &&
+                           error.kind != core::ErrorKind::kConnectionRefused;
+  if (statement.kind == StatementKind::kCommit || statement.kind == StatementKind::kRollback) {
+    leave_transaction();
+    if (statement.kind == StatementKind::kRollback) {
+      return done_here(TransactionState::kIdle);
+    }
+    const FailureCode code = may_be_kept ? FailureCode::kUnsure : FailureCode::kAborted;
+    return failed_reply(code, error.message, TransactionState::kIdle);
+  }
+  transaction_->lease.reset();
+  transaction_->failed = true;
+  return failed_reply(FailureCode::kAborted, error.message, TransactionState::kFailed);
+}
+
+void CallerSession::after_transaction_statement(const Statement& statement, const StatementReply& reply) {
+  if (may_write(statement)) {
+    transaction_->wrote = true;
+  }
+  const bool committed = statement.kind == StatementKind::kCommit && !reply.failure;
+  if (committed && transaction_->wrote) {
+    note_own_position(reply);
+  }
+  const bool read_only_primary = reply.failure && reply.failure->code == FailureCode::kReadOnly;
+  if (read_only_primary && transaction_->choice.is_primary) {
+    transaction_->choice.pool->health().on_refused_write();
+  }
+  if (reply.state == TransactionState::kIdle) {
+    leave_transaction();
+  } else if (reply.state == TransactionState::kFailed) {
+    transaction_->failed = true;
+  }
+}
+
+void CallerSession::leave_transaction() {
+  transaction_.reset();
+}
+
+void CallerSession::end_transaction_when_idle(core::Instant now) {
+  const core::Duration limit = services_.routes.transaction_idle_limit();
+  const bool rests = transaction_ && transaction_->lease && !running_ && limit > core::Duration::zero() &&
+                     now - transaction_->rested_since >= limit;
+  if (!rests) {
+    return;
+  }
+  ++services_.counters.transactions_ended_idle;
+  transaction_->lease.reset();
+  transaction_->failed = true;
+}
+
+void CallerSession::end_transaction_for_stop() {
+  if (transaction_ && !running_) {
+    transaction_->lease.reset();
+    transaction_->failed = true;
+  }
+}
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/caller_session.hpp
@@ -0,0 +1,115 @@
+// One caller's session: its values and prepared statements, the transaction it is in, and the way of each
+// statement to a database and back. Sessions share the pools' connections; a transaction keeps one to itself.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/clock.hpp"
+#include "core/log_position.hpp"
+#include "pooling/backends.hpp"
+#include "pooling/metrics.hpp"
+#include "pooling/routes.hpp"
+#include "pooling/session_state.hpp"
+#include "pooling/statement.hpp"
+
+namespace pipitpond::pooling {
+
+class CallerSession;
+
+/// What all sessions of a daemon share.
+struct SessionServices {
+  boost::asio::io_context& io;
+  Backends& backends;
+  Routes& routes;
+  PoolingCounters& counters;
+  std::set<CallerSession*> sessions;  ///< All that are open.
+};
+
+/// A session. Runs one statement at a time; must outlive a statement that runs.
+class CallerSession {
+ public:
+  CallerSession(SessionServices& services, std::string database);
+  ~CallerSession();
+  CallerSession(const CallerSession&) = delete;
+  CallerSession& operator=(const CallerSession&) = delete;
+
+  /// Runs a statement and gives its answer. Nothing is held back: what is given up on is answered at once.
+  boost::asio::awaitable<StatementReply> run(Statement statement);
+
+  /// Ends a transaction whose caller has rested for the limit of the routes. The caller learns of it with the
+  /// next statement.
+  void end_transaction_when_idle(core::Instant now);
+  /// Ends an open transaction between two statements, because the daemon stops.
+  void end_transaction_for_stop();
+
+  [[nodiscard]] TransactionState state() const;
+  /// A statement is running.
+  [[nodiscard]] bool running() const { return running_; }
+
+ private:
+  /// A transaction and the connection that it keeps.
+  struct Transaction {
+    protocol::Route route;
+    std::optional<ConnectionLease> lease;  ///< Empty once the connection is lost.
+    BackendChoice choice;
+    bool failed = false;
+    bool wrote = false;
+    core::Instant rested_since;
+  };
+
+  /// One statement outside a transaction, or the begin of one, while a database is sought for it.
+  struct Search {
+    protocol::Route route;
+    Statement statement;
+    core::Instant started;
+    core::Instant deadline;      ///< Of the statement's run.
+    core::Instant stop_waiting;  ///< Without a database until then, it is given up.
+    bool needs_primary = false;
+    std::set<core::DatabaseId> avoided;
+    std::uint32_t failed_reads = 0;
+    Failure last_failure;
+    core::Duration pause{};  ///< Before the next attempt.
+  };
+
+  boost::asio::awaitable<StatementReply> dispatch(Statement statement);
+  StatementReply set_value(const Statement& statement);
+  StatementReply prepare(const Statement& statement);
+  StatementReply forget(const Statement& statement);
+  StatementReply end_failed_transaction(const Statement& statement);
+
+  boost::asio::awaitable<StatementReply> run_first(Statement statement);
+  std::optional<Search> begin_search(Statement statement) const;
+  [[nodiscard]] BackendNeed need_of(const Search& search, core::Instant now) const;
+  [[nodiscard]] bool surely_fresh(const Search& search, const BackendChoice& choice, const BackendNeed& need,
+                                  core::Instant now) const;
+  boost::asio::awaitable<std::optional<StatementReply>> attempt(Search& search);
+  boost::asio::awaitable<std::optional<StatementReply>> attempt_at(Search& search, BackendChoice choice,
+                                                                   ConnectionLease lease);
+  std::optional<StatementReply> on_lost(Search& search, const BackendChoice& choice,
+                                        const core::Error& error);
+  std::optional<StatementReply> on_failure(Search& search, const BackendChoice& choice, StatementReply reply);
+  StatementReply accept(const Search& search, const BackendChoice& choice, ConnectionLease lease,
+                        StatementReply reply);
+  StatementReply give_up(const Search& search) const;
+
+  boost::asio::awaitable<StatementReply> run_in_transaction(Statement statement);
+  StatementReply on_transaction_lost(const Statement& statement, const core::Error& error);
+  void after_transaction_statement(const Statement& statement, const StatementReply& reply);
+  void leave_transaction();
+
+  void note_own_position(const StatementReply& reply);
+  void count(const StatementReply& reply);
+
+  SessionServices& services_;
+  std::string database_;
+  SessionState session_;
+  std::optional<Transaction> transaction_;
+  std::optional<core::LogPosition> own_position_;  ///< Of this session's last acknowledged write.
+  bool running_ = false;
+};
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/daemon.cpp
@@ -0,0 +1,207 @@
+#include "pooling/daemon.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "logging/logging.hpp"
+#include "pooling/metrics_page.hpp"
+#include "pooling/waiting.hpp"
+
+namespace pipitpond::pooling {
+
+using boost::asio::awaitable;
+
+namespace {
+
+/// Without control's lease for this long, callers are better served by other daemons.
+constexpr core::Duration kReadyWithoutLease = std::chrono::milliseconds(1500);
+/// While others learn that this daemon is not ready, new callers are still served: two missed questions and
+/// room.
+constexpr core::Duration kStillAccepting = std::chrono::milliseconds(2200);
+/// Open transactions get this part of the grace to end.
+constexpr int kTransactionsShare = 2;
+/// Kept back from the grace for saying farewell.
+constexpr core::Duration kFarewell = std::chrono::milliseconds(600);
+constexpr core::Duration kDrainPoll = std::chrono::milliseconds(20);
+
+}  // namespace
+
+core::Result<std::unique_ptr<Daemon>> Daemon::start(boost::asio::io_context& io, PoolingOptions options,
+                                                    DaemonAdapters adapters) {
+  auto agent = agent::Agent::create(io, options.agent_options());
+  if (!agent) {
+    return agent.error();
+  }
+  std::unique_ptr<Daemon> daemon(
+      new Daemon(io, std::move(options), std::move(adapters), std::move(agent.value())));
+  const auto opened = daemon->open_ports();
+  if (!opened) {
+    return opened.error();
+  }
+  return daemon;
+}
+
+Daemon::Daemon(boost::asio::io_context& io, PoolingOptions options, DaemonAdapters adapters,
+               std::unique_ptr<agent::Agent> agent)
+    : io_(io),
+      options_(std::move(options)),
+      adapters_(std::move(adapters)),
+      agent_(std::move(agent)),
+      backends_(io, *adapters_.connector, *agent_, options_.id, options_.zone),
+      services_{io, backends_, routes_, counters_, {}} {}
+
+Daemon::~Daemon() = default;
+
+core::Result<void> Daemon::open_ports() {
+  SessionHost host;
+  host.open = [this](const std::string& database) { return open_session(database); };
+  listener_ = adapters_.make_listener(io_, std::move(host));
+  const auto listening = listener_->start();
+  if (!listening) {
+    return listening.error();
+  }
+  http::ServerOptions admin;
+  admin.address = options_.admin.address;
+  admin.port = options_.admin.port;
+  auto server =
+      http::Server::start(io_, admin, [this](const http::Request& request, const http::Responder& respond) {
+        serve_admin(request, respond);
+      });
+  if (!server) {
+    return server.error();
+  }
+  admin_ = std::move(server.value());
+  agent_->on_change([this](const protocol::Configuration& configuration) { apply(configuration); });
+  agent_->start();
+  boost::asio::co_spawn(io_, tick(), boost::asio::detached);
+  return core::outcome::success();
+}
+
+void Daemon::apply(const protocol::Configuration& configuration) {
+  routes_.apply(configuration.routes);
+  backends_.apply(configuration);
+}
+
+awaitable<void> Daemon::tick() {
+  while (true) {
+    const core::Instant now = core::BootClock::now();
+    const bool has_lease = agent_->lease_valid(now);
+    if (had_lease_ && !has_lease) {
+      lease_lost_since_ = now;
+    }
+    had_lease_ = has_lease;
+    backends_.tick(now);
+    const std::set<CallerSession*> sessions = services_.sessions;
+    for (CallerSession* session : sessions) {
+      session->end_transaction_when_idle(now);
+    }
+    log_readiness();
+    co_await pause_for(io_, kBackendsTick);
+  }
+}
+
+core::Result<std::unique_ptr<CallerSession>> Daemon::open_session(const std::string& database) {
+  if (routes_.version() == 0) {
+    return core::fail(core::ErrorKind::kUnavailable, "No routes have been received from control yet.",
+                      "Try again in a second.", 1000);
+  }
+  if (!routes_.find(database)) {
+    return core::fail(core::ErrorKind::kNotFound, "No route serves database " + database + ".",
+                      "Name a database of the route table.");
+  }
+  return std::make_unique<CallerSession>(services_, database);
+}
+
+// --- Readiness and metrics
+// -------------------------------------------------------------------------------------
+
+void Daemon::serve_admin(const http::Request& request, const http::Responder& respond) {
+  http::Response response;
+  if (request.path == options_.ready_path) {
+    const std::string reason = not_ready_reason();
+    response.status = reason.empty() ? 200 : 503;
+    response.body = reason.empty() ? "ready" : reason;
+    response.content_type = "text/plain";
+  } else if (request.path == "/metrics") {
+    response.content_type = metrics::kContentType;
+    response.body =
+        metrics_page(counters_, backends_, *agent_, listener_->sessions(), not_ready_reason().empty());
+  } else {
+    response.status = 404;
+    response.body = "There is " + options_.ready_path + " and /metrics.";
+    response.content_type = "text/plain";
+  }
+  respond(std::move(response));
+}
+
+std::string Daemon::not_ready_reason() const {
+  if (stopping_) {
+    return "This daemon is being stopped.";
+  }
+  if (routes_.version() == 0) {
+    return "No routes have been received from control yet.";
+  }
+  if (!had_lease_ && core::BootClock::now() - lease_lost_since_ > kReadyWithoutLease) {
+    return "Control is out of reach.";
+  }
+  return {};
+}
+
+void Daemon::log_readiness() {
+  const std::string reason = not_ready_reason();
+  if (reason == last_reason_) {
+    return;
+  }
+  last_reason_ = reason;
+  const auto log = logging::logger("pooling");
+  if (reason.empty()) {
+    log->info("Ready: routes of version {}.", routes_.version());
+  } else {
+    log->warn("Not ready: {}", reason);
+  }
+}
+
+// --- Stop
+// ------------------------------------------------------------------------------------------------------
+
+void Daemon::stop(std::function<void()> stopped) {
+  boost::asio::co_spawn(io_, drain(std::move(stopped)), boost::asio::detached);
+}
+
+awaitable<void> Daemon::drain(std::function<void()> stopped) {
+  const core::Instant begun = core::BootClock::now();
+  const core::Instant give_up = begun + options_.stop_grace - kFarewell;
+  const auto log = logging::logger("pooling");
+  stopping_ = true;
+  log->info("Drain: {} sessions are open.", listener_->sessions());
+  listener_->close_idle_sessions();
+  agent_->set_leaving();
+  co_await pause_for(io_, kStillAccepting);
+  listener_->stop_accepting();
+  co_await wait_for_sessions(begun + options_.stop_grace / kTransactionsShare, false);
+  for (CallerSession* session : std::set<CallerSession*>(services_.sessions)) {
+    session->end_transaction_for_stop();
+  }
+  co_await wait_for_sessions(give_up, true);
+  log->info("Drain: {} sessions are left.", listener_->sessions());
+  backends_.close();
+  co_await agent_->depart(kFarewell / 2);
+  stopped();
+}
+
+awaitable<void> Daemon::wait_for_sessions(core::Instant give_up, bool running_only) {
+  const auto counts = [running_only](const CallerSession* session) {
+    return session->running() || (!running_only && session->state() != TransactionState::kIdle);
+  };
+  while (core::BootClock::now() < give_up) {
+    const bool any = std::any_of(services_.sessions.begin(), services_.sessions.end(), counts);
+    if (!any) {
+      co_return;
+    }
+    co_await pause_for(io_, kDrainPoll);
+  }
+}
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/daemon.hpp
@@ -0,0 +1,69 @@
+// A proxy daemon that pools connections for callers' sessions: puts the parts together, tells whether it is
+// ready, and stops without cutting anything off.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "agent/agent.hpp"
+#include "http/server.hpp"
+#include "pooling/backends.hpp"
+#include "pooling/caller_session.hpp"
+#include "pooling/listener.hpp"
+#include "pooling/options.hpp"
+#include "runtime/program.hpp"
+
+namespace pipitpond::pooling {
+
+/// The adapters of one daemon.
+struct DaemonAdapters {
+  std::unique_ptr<BackendConnector> connector;
+  MakeCallerListener make_listener;
+};
+
+/// A running daemon.
+class Daemon : public runtime::Daemon {
+ public:
+  static core::Result<std::unique_ptr<Daemon>> start(boost::asio::io_context& io, PoolingOptions options,
+                                                     DaemonAdapters adapters);
+  ~Daemon() override;
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  void stop(std::function<void()> stopped) override;
+  [[nodiscard]] core::Duration stop_limit() const override { return options_.stop_grace; }
+
+ private:
+  Daemon(boost::asio::io_context& io, PoolingOptions options, DaemonAdapters adapters,
+         std::unique_ptr<agent::Agent> agent);
+
+  core::Result<void> open_ports();
+  void apply(const protocol::Configuration& configuration);
+  boost::asio::awaitable<void> tick();
+  boost::asio::awaitable<void> drain(std::function<void()> stopped);
+  boost::asio::awaitable<void> wait_for_sessions(core::Instant give_up, bool running_only);
+  core::Result<std::unique_ptr<CallerSession>> open_session(const std::string& database);
+  void serve_admin(const http::Request& request, const http::Responder& respond);
+  [[nodiscard]] std::string not_ready_reason() const;
+  void log_readiness();
+
+  boost::asio::io_context& io_;
+  PoolingOptions options_;
+  DaemonAdapters adapters_;
+  std::unique_ptr<agent::Agent> agent_;
+  Backends backends_;
+  Routes routes_;
+  PoolingCounters counters_;
+  SessionServices services_;
+  std::unique_ptr<CallerListener> listener_;
+  std::unique_ptr<http::Server> admin_;
+  core::Instant lease_lost_since_{};
+  bool had_lease_ = false;
+  bool stopping_ = false;
+  std::string last_reason_;
+};
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/listener.hpp
@@ -0,0 +1,39 @@
+// How callers reach a pooling daemon. One implementation for each protocol that callers speak.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/endpoint.hpp"
+#include "core/error.hpp"
+#include "pooling/caller_session.hpp"
+
+namespace pipitpond::pooling {
+
+/// What a listener needs of the daemon.
+struct SessionHost {
+  /// Opens a session for a database name. Fails with kNotFound when no route serves it, with kUnavailable
+  /// before there are routes.
+  std::function<core::Result<std::unique_ptr<CallerSession>>(const std::string& database)> open;
+};
+
+/// Accepts callers and carries their statements to sessions and the answers back.
+class CallerListener {
+ public:
+  virtual ~CallerListener() = default;
+
+  /// Binds and begins to accept. Fails with kUnavailable.
+  virtual core::Result<void> start() = 0;
+  /// From now on, a session is closed as soon as nothing is asked of it and no transaction is open.
+  virtual void close_idle_sessions() = 0;
+  /// No more callers.
+  virtual void stop_accepting() = 0;
+  [[nodiscard]] virtual std::size_t sessions() const = 0;
+};
+
+using MakeCallerListener =
+    std::function<std::unique_ptr<CallerListener>(boost::asio::io_context&, SessionHost)>;
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/metrics_page.cpp
@@ -0,0 +1,81 @@
+#include "pooling/metrics_page.hpp"
+
+#include "metrics/metrics.hpp"
+
+namespace pipitpond::pooling {
+namespace {
+
+template <typename Number>
+double number(Number value) {
+  return static_cast<double>(value);
+}
+
+void add_statements(metrics::Registry& registry, const PoolingCounters& counters) {
+  const auto counter = [&registry](const std::string& name, const std::string& help, std::uint64_t value) {
+    registry.counter("pipitpond_pooling_" + name, help).increment(number(value));
+  };
+  counter("statements_total", "Statements of callers.", counters.statements);
+  counter("succeeded_total", "Statements answered with success.", counters.succeeded);
+  counter("retried_total", "Attempts beyond a statement's first.", counters.retried);
+  counter("given_up_total", "Statements given up for want of a database.", counters.given_up);
+  counter("transactions_ended_idle_total", "Transactions ended because their callers rested too long.",
+          counters.transactions_ended_idle);
+  const auto reads = [&registry](const std::string& role, std::uint64_t count) {
+    registry
+        .counter("pipitpond_pooling_reads_total", "Single reads by who served them.", {{"served_by", role}})
+        .increment(number(count));
+  };
+  reads("replica", counters.reads_at_replicas);
+  reads("primary", counters.reads_at_primaries);
+  for (std::size_t code = 0; code < counters.failures.size(); ++code) {
+    registry
+        .counter("pipitpond_pooling_failures_total", "Statements answered with a failure, by its code.",
+                 {{"code", to_string(static_cast<FailureCode>(code))}})
+        .increment(number(counters.failures.at(code)));
+  }
+}
+
+void add_pool(metrics::Registry& registry, const BackendPool& pool) {
+  const metrics::Labels labels{{"group", pool.address().group.value()},
+                               {"database", pool.address().database.value()}};
+  const auto gauge = [&](const std::string& name, const std::string& help, double value) {
+    registry.gauge("pipitpond_pooling_backend_" + name, help, labels).set(value);
+  };
+  gauge("connections", "Connections held.", number(pool.held()));
+  gauge("connections_in_use", "Connections that run a statement or belong to a transaction.",
+        number(pool.in_use()));
+  gauge("budget", "Connections that may be held.", number(pool.budget()));
+  gauge("waiting", "Statements that wait for a connection.", number(pool.waiting()));
+  gauge("usable", "1 while the database is taken to be reachable.", pool.health().usable() ? 1 : 0);
+  const auto counter = [&](const std::string& name, const std::string& help, std::uint64_t value) {
+    registry.counter("pipitpond_pooling_backend_" + name, help, labels).increment(number(value));
+  };
+  counter("opened_total", "Connections opened.", pool.counters().opened);
+  counter("open_failed_total", "Connections that could not be opened.", pool.counters().open_failed);
+  counter("broke_total", "Batches that got no answer.", pool.counters().broke);
+  counter("probes_total", "Probes sent in doubt.", pool.counters().probes);
+}
+
+}  // namespace
+
+std::string metrics_page(const PoolingCounters& counters, const Backends& backends, const agent::Agent& agent,
+                         std::size_t sessions, bool ready) {
+  metrics::Registry registry;
+  add_statements(registry, counters);
+  for (const auto& pool : backends.pools()) {
+    add_pool(registry, *pool);
+  }
+  const auto gauge = [&registry](const std::string& name, const std::string& help, double value) {
+    registry.gauge("pipitpond_pooling_" + name, help).set(value);
+  };
+  gauge("sessions", "Callers' sessions that are open.", number(sessions));
+  gauge("ready", "1 while the daemon calls itself ready.", ready ? 1 : 0);
+  gauge("lease_valid", "1 while control's lease is valid.",
+        agent.lease_valid(core::BootClock::now()) ? 1 : 0);
+  gauge("revision", "Revision of the configuration in force.", number(agent.configuration().revision));
+  gauge("routes_version", "Version of the route table in force.",
+        number(agent.configuration().routes.version));
+  return registry.text();
+}
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/metrics_page.hpp
@@ -0,0 +1,17 @@
+// The page of metrics of a pooling daemon.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "agent/agent.hpp"
+#include "pooling/backends.hpp"
+#include "pooling/metrics.hpp"
+
+namespace pipitpond::pooling {
+
+/// Body of GET /metrics.
+std::string metrics_page(const PoolingCounters& counters, const Backends& backends, const agent::Agent& agent,
+                         std::size_t sessions, bool ready);
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/options.cpp
@@ -0,0 +1,67 @@
+#include "pooling/options.hpp"
+
+#include "protocol/tunables.hpp"
+
+namespace pipitpond::pooling {
+namespace {
+
+constexpr settings::Range kPort{1, 65535};
+constexpr settings::Range kGraceMillis{1000, 3'600'000};
+/// A daemon that stood still for so long has no lease any more anyway.
+constexpr core::Duration kStandstillLimit = protocol::kDaemonLease;
+
+}  // namespace
+
+PoolingSettings::PoolingSettings() {
+  section_.text("node.id", id_, "Name of this daemon, unlike that of any other daemon").required();
+  section_.text("node.zone", zone_, "Zone in which it runs").required();
+  section_.text("data.folder", options_.data_folder,
+                "Folder for the last configuration; leave out on a machine without a disk");
+  section_.endpoint("listen.callers", options_.callers, "Address for callers").required();
+  section_.endpoint("listen.admin", options_.admin, "Address for readiness and metrics").required();
+  section_.endpoint("listen.internal", options_.internal, "Address at which other daemons reach this one")
+      .required();
+  section_.endpoints("control.seeds", options_.control_seeds, "HTTP addresses of some control machines")
+      .required();
+  section_
+      .integer("control.internal_port", options_.control_internal_port, kPort,
+               "Port that all control machines use for daemons")
+      .required();
+  section_.text("admin.ready_path", options_.ready_path, "Path that answers 200 while the daemon is ready");
+  section_.duration("stop.grace_ms", options_.stop_grace, kGraceMillis, "A planned stop takes no longer");
+  section_.check([this] { return check(); });
+}
+
+PoolingOptions PoolingSettings::options() const {
+  PoolingOptions options = options_;
+  options.id = core::DaemonId(id_);
+  options.zone = core::ZoneName(zone_);
+  return options;
+}
+
+agent::AgentOptions PoolingOptions::agent_options() const {
+  agent::AgentOptions agent;
+  agent.daemon = id;
+  agent.zone = zone;
+  agent.internal = internal;
+  agent.callers = callers;
+  agent.data_folder = data_folder;
+  agent.standstill_limit = kStandstillLimit;
+  for (const core::Endpoint& seed : control_seeds) {
+    agent.control.push_back(core::Endpoint{seed.address, control_internal_port});
+  }
+  return agent;
+}
+
+std::optional<settings::Problem> PoolingSettings::check() const {
+  if (id_.empty()) {
+    return settings::Problem{"", "node.id", "is empty", "Name this daemon."};
+  }
+  if (options_.control_seeds.empty()) {
+    return settings::Problem{"", "control.seeds", "names no control machine",
+                             "List the HTTP addresses of some control machines."};
+  }
+  return std::nullopt;
+}
+
+}  // namespace pipitpond::pooling
--- a/src/protocol/configuration.cpp
+++ b/src/protocol/configuration.cpp
@@ -29,6 +29,9 @@
   for (const core::ControlId& id : change.removed_controls) {
     configuration.controls.erase(id);
   }
+  if (change.routes) {
+    configuration.routes = *change.routes;
+  }
   configuration.revision = change.revision;
   return true;
 }
--- a/src/protocol/configuration.hpp
+++ b/src/protocol/configuration.hpp
@@ -43,8 +43,13 @@
   std::uint32_t connection_limit = 0;
   std::uint32_t slots = 0;
   bool draining = false;  ///< Set by an operator, or by control when the database or platform says so.
+  /// Said that it ends. Its log may still hold the only receipt of an acknowledged write, so it counts as a
+  /// member until the others have caught up.
+  bool departed = false;
+  /// Owners that share its connections; 0: kOwnersPerDatabase.
+  std::uint32_t max_owners = 0;
 
-  MSGPACK_DEFINE(id, endpoint, zone, connection_limit, slots, draining);
+  MSGPACK_DEFINE(id, endpoint, zone, connection_limit, slots, draining, departed, max_owners);
 };
 
 /// Start of one primary's term.
@@ -67,12 +72,68 @@
   /// Terms in order, the last being current. A last element without a primary is a change in progress.
   /// Bounded to kMaxTermHistory; tokens older than the oldest are reported as lost.
   std::vector<TermStart> terms;
+  /// Replicas that have received a write before it is acknowledged. 0: the group acknowledges by majority.
+  std::uint32_t sync_replicas = 0;
+  /// Its databases register and leave by themselves.
+  bool self_registered = false;
+  /// Connections that each of its databases takes from all callers together; only of self-registered groups.
+  std::uint32_t connection_limit = 0;
 
-  MSGPACK_DEFINE(name, databases, policy, revision, terms);
+  MSGPACK_DEFINE(name, databases, policy, revision, terms, sync_replicas, self_registered, connection_limit);
 };
 
 inline constexpr std::size_t kMaxTermHistory = 64;
 
+/// Which databases may serve a route's reads.
+enum class RouteKind : std::uint8_t {
+  kPrimary,  ///< The primary only: every read sees every acknowledged write.
+  kBounded,  ///< Any that holds all writes acknowledged longer ago than the route's staleness.
+  kSession,  ///< Like kBounded, and it holds all writes of the caller's own session.
+};
+
+/// How statements that callers address to one database name are served.
+struct Route {
+  std::string name;
+  std::string database;     ///< The name that callers ask for.
+  std::string path_prefix;  ///< Tells routes of one database name apart.
+  RouteKind kind = RouteKind::kPrimary;
+  core::GroupName group;
+  std::uint32_t timeout_ms = 0;        ///< Of one statement.
+  std::uint32_t goal_ms = 0;           ///< In which an operation should be served; 0: not told.
+  std::uint32_t priority = 0;          ///< 0 goes first.
+  std::uint32_t max_attempts = 0;      ///< 0: not told.
+  std::uint32_t max_staleness_ms = 0;  ///< Of kBounded and kSession.
+
+  bool operator==(const Route&) const = default;
+
+  MSGPACK_DEFINE(name, database, path_prefix, kind, group, timeout_ms, goal_ms, priority, max_attempts,
+                 max_staleness_ms);
+};
+
+/// What a table of routes says about one group.
+struct RoutedGroup {
+  core::GroupName name;
+  std::uint32_t connection_limit = 0;
+  std::uint32_t sync_replicas = 0;
+
+  bool operator==(const RoutedGroup&) const = default;
+
+  MSGPACK_DEFINE(name, connection_limit, sync_replicas);
+};
+
+/// All routes under a version that comes from outside. The highest version prevails.
+struct RouteTable {
+  std::uint64_t version = 0;  ///< 0: none yet.
+  std::vector<Route> routes;
+  std::vector<RoutedGroup> groups;
+  std::uint32_t transaction_idle_ms =
+      0;  ///< A transaction without a statement for this long is ended; 0: never.
+
+  bool operator==(const RouteTable&) const = default;
+
+  MSGPACK_DEFINE(version, routes, groups, transaction_idle_ms);
+};
+
 /// Whether a daemon takes new work.
 enum class DaemonState : std::uint8_t { kLive, kLeaving };
 
@@ -108,8 +169,9 @@
   std::map<core::PolicyName, Policy> policies;
   std::map<core::DaemonId, Daemon> daemons;
   std::map<core::ControlId, Control> controls;
+  RouteTable routes;
 
-  MSGPACK_DEFINE(revision, groups, zones, policies, daemons, controls);
+  MSGPACK_DEFINE(revision, groups, zones, policies, daemons, controls, routes);
 };
 
 /// What one change did: the new value of each thing that it touched, and the names it removed.
@@ -122,8 +184,10 @@
   std::vector<core::DaemonId> removed_daemons;
   std::vector<Control> controls;
   std::vector<core::ControlId> removed_controls;
+  std::optional<RouteTable> routes;
 
-  MSGPACK_DEFINE(revision, groups, zones, policies, daemons, removed_daemons, controls, removed_controls);
+  MSGPACK_DEFINE(revision, groups, zones, policies, daemons, removed_daemons, controls, removed_controls,
+                 routes);
 };
 
 /// Applies a change that follows directly on `configuration.revision`; returns false and changes nothing
@@ -139,3 +203,4 @@
 }  // namespace pipitpond::protocol
 
 MSGPACK_ADD_ENUM(pipitpond::protocol::DaemonState);
+MSGPACK_ADD_ENUM(pipitpond::protocol::RouteKind);
--- a/src/protocol/control_messages.hpp
+++ b/src/protocol/control_messages.hpp
@@ -64,8 +64,11 @@
   core::Endpoint leader;
   /// Internal endpoints of all control replicas, so that daemons follow changes of membership.
   std::vector<core::Endpoint> control;
+  /// Set when the daemon's incarnation is older than the one that control knows.
+  std::uint64_t known_incarnation = 0;
 
-  MSGPACK_DEFINE(sequence, lease_ms, current, settled_everywhere, from_leader, leader, control);
+  MSGPACK_DEFINE(sequence, lease_ms, current, settled_everywhere, from_leader, leader, control,
+                 known_incarnation);
 };
 
 /// Asks any control replica for what follows `after`.
--- a/src/raft/config.hpp
+++ b/src/raft/config.hpp
@@ -35,6 +35,11 @@
   std::size_t max_bytes_per_append = std::size_t{1024} * 1024;
   /// Proposals beyond this many uncommitted entries are refused with kOverloaded.
   std::size_t max_uncommitted_entries = 4096;
+  /// Replicas at places that are no member's may join by themselves. Otherwise operators add them.
+  bool open_membership = false;
+  /// With open membership: a voter that was not heard for this long is removed, so that machines that are
+  /// gone for good do not add up to a majority. It joins again if it returns.
+  core::Duration remove_silent_after = std::chrono::seconds(12);
   Mechanisms mechanisms;
 };
 
--- a/src/raft/node.hpp
+++ b/src/raft/node.hpp
@@ -178,6 +178,8 @@
   void promote_or_remove();
   bool promote_a_learner();
   bool remove_a_replaced();
+  bool remove_a_silent();
+  void admit_stranger(const Member& joiner);
   void continue_transfer();
 
   Config config_;
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -12,6 +12,8 @@
 
 /// A member that has not answered for this many election timeouts may be replaced by a joining replica.
 constexpr int kLostAfterElectionTimeouts = 4;
+/// Silent voters are removed down to this many.
+constexpr std::size_t kLeastVotersKept = 3;
 
 }  // namespace
 
@@ -94,7 +96,8 @@
 
 void Node::promote_or_remove() {
   if (may_change_membership().has_failure()) return;
-  if (!promote_a_learner()) remove_a_replaced();
+  if (promote_a_learner() || remove_a_replaced()) return;
+  remove_a_silent();
 }
 
 bool Node::promote_a_learner() {
@@ -132,6 +135,30 @@
   return false;
 }
 
+bool Node::remove_a_silent() {
+  if (!config_.open_membership) return false;
+  const auto heard_within = [this](const core::ControlId& id, core::Duration limit) {
+    if (id == config_.id) return true;
+    const auto contact = std::max(last_contact(id).value_or(leader_since_), leader_since_);
+    return now_ - contact < limit;
+  };
+  std::size_t in_contact = 0;
+  const Member* silent = nullptr;
+  for (const auto& member : membership().members) {
+    if (member.role != MemberRole::kVoter) continue;
+    if (heard_within(member.id, config_.election_timeout_min)) ++in_contact;
+    if (!heard_within(member.id, config_.remove_silent_after)) silent = &member;
+  }
+  // The others must stand by themselves, also without one more of them.
+  const std::size_t left = membership().voter_count() - 1;
+  const bool safe = left >= kLeastVotersKept && in_contact > left / 2 + 1;
+  if (silent == nullptr || !safe) return false;
+  auto changed = membership();
+  std::erase_if(changed.members, [&](const Member& member) { return member.id == silent->id; });
+  append_membership(std::move(changed));
+  return true;
+}
+
 void Node::handle(const Message& /*message*/, const JoinRequest& request) {
   const auto& joiner = request.member;
   if (may_change_membership().has_failure() || membership().find(joiner.id) != nullptr) return;
@@ -139,9 +166,14 @@
   const auto same_place = std::find_if(members.rbegin(), members.rend(), [&](const Member& member) {
     return member.internal == joiner.internal;
   });
-  // Strangers are let in by operators only. At the place of a known member the newcomer stands in its stead,
-  // provided that the known one is really silent.
-  if (same_place == members.rend() || same_place->id == config_.id) return;
+  if (same_place == members.rend()) {
+    // Otherwise strangers are let in by operators only.
+    if (config_.open_membership) admit_stranger(joiner);
+    return;
+  }
+  // At the place of a known member the newcomer stands in its stead, provided that the known one is really
+  // silent.
+  if (same_place->id == config_.id) return;
   const auto contact = std::max(last_contact(same_place->id).value_or(leader_since_), leader_since_);
   if (now_ - contact < config_.election_timeout_max * kLostAfterElectionTimeouts) return;
   const auto& known = *same_place;
@@ -155,6 +187,14 @@
   append_membership(std::move(changed));
 }
 
+void Node::admit_stranger(const Member& joiner) {
+  auto changed = membership();
+  changed.members.push_back(joiner);
+  changed.members.back().role = MemberRole::kLearner;
+  changed.members.back().replaces = {};
+  append_membership(std::move(changed));
+}
+
 core::Result<void> Node::transfer_leadership(core::Instant now) {
   now_ = std::max(now_, now);
   if (role_ != Role::kLeader) {
