Keep braced temporaries out of coroutine calls: GCC 12 destroys them twice

Ruled out: member order of LeaderDuties, adapters' lifetime. Cause: an aggregate built inside a co_await argument.

--- a/src/pooling/caller_session.cpp
+++ b/src/pooling/caller_session.cpp
@@ -365,7 +365,8 @@
 awaitable<StatementReply> CallerSession::run_in_transaction(Statement statement) {
   const core::Duration timeout = std::chrono::milliseconds(transaction_->route.timeout_ms);
   const core::Instant sent = core::BootClock::now();
-  auto ran = co_await transaction_->lease->run(session_, BackendStatement{statement, {}}, timeout);
+  BackendStatement asked{statement, {}};
+  auto ran = co_await transaction_->lease->run(session_, std::move(asked), timeout);
   if (!ran) {
     co_return on_transaction_lost(statement, ran.error());
   }
