--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -257,6 +257,10 @@
 
   void start() override { driver_->start(); }
 
+  void set_control(std::vector<core::Endpoint> control) override {
+    driver_->session().set_configured_control(std::move(control));
+  }
+
   void set_leaving() override {
     driver_->session().set_leaving(core::BootClock::now());
     driver_->carry_out();
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -50,6 +50,8 @@
 
   /// Begins heartbeats and fetches.
   virtual void start() = 0;
+  /// Replaces the control replicas that the settings name.
+  virtual void set_control(std::vector<core::Endpoint> control) = 0;
   /// Marks the daemon as leaving: from the next heartbeat (sent at once) it owns nothing new.
   virtual void set_leaving() = 0;
   /// Last message of a planned stop, when no request is in progress and no connection is held. Returns when
--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -298,6 +298,14 @@
   return changed;
 }
 
+void Session::set_configured_control(std::vector<core::Endpoint> control) {
+  if (control.empty()) {
+    return;
+  }
+  options_.control = std::move(control);
+  take_control_list(std::vector<core::Endpoint>(control_));
+}
+
 void Session::set_leaving(core::Instant now) {
   if (!leaving_) {
     leaving_ = true;
--- a/src/agent/session.hpp
+++ b/src/agent/session.hpp
@@ -75,6 +75,8 @@
   /// Replaces the list of suspicions; true when it differs, apart from durations, and a heartbeat was asked
   /// for.
   bool set_suspicions(core::Instant now, std::vector<protocol::SuspicionReport> suspicions);
+  /// Replaces the control replicas that the settings name.
+  void set_configured_control(std::vector<core::Endpoint> control);
   void set_leaving(core::Instant now);
   void report_held(const core::DatabaseId& database, std::uint32_t connections);
   /// No further heartbeats: the lease is given up.
--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <variant>
 
+#include "logging/logging.hpp"
 #include "ownership/ownership.hpp"
 
 namespace pipitpond::control {
@@ -256,7 +257,27 @@
   }
 }
 
+void LeaderDuties::log_change(const failover::Effect& effect) const {
+  const auto log = logging::logger("failover");
+  if (const auto* promote = std::get_if<failover::PromoteDatabase>(&effect)) {
+    log->info("group={} term={} event=promote database={}", promote->group.value(), promote->term,
+              promote->database.value());
+  } else if (const auto* begin = std::get_if<failover::ProposeBegin>(&effect)) {
+    log->info("group={} term={} event=begin_change replaces_term={}", begin->group.value(), begin->new_term,
+              begin->expected_term);
+  } else if (const auto* complete = std::get_if<failover::ProposeComplete>(&effect)) {
+    log->info("group={} term={} event=complete_change primary={} start={}.{}", complete->group.value(),
+              complete->term, complete->primary.value(), complete->start.term, complete->start.index);
+  } else if (const auto* adopt = std::get_if<failover::ProposeAdopt>(&effect)) {
+    log->info("group={} term={} event=adopt_primary primary={}", adopt->group.value(), adopt->term,
+              adopt->primary.value());
+  } else if (const auto* remove = std::get_if<failover::ProposeRemove>(&effect)) {
+    log->info("event=remove_database database={}", remove->database.value());
+  }
+}
+
 void LeaderDuties::carry_out(const failover::Effect& effect) {
+  log_change(effect);
   if (const auto* probe = std::get_if<failover::ProbeDatabase>(&effect)) {
     calls_->probe(*probe);
   } else if (const auto* fence = std::get_if<failover::FenceDatabase>(&effect)) {
--- a/src/control/leader_duties.hpp
+++ b/src/control/leader_duties.hpp
@@ -71,6 +71,7 @@
   void align_controls();
   void hand_over_when_leaving(core::Instant now);
   void carry_out_effects();
+  void log_change(const failover::Effect& effect) const;
   void carry_out(const failover::Effect& effect);
 
   boost::asio::io_context& io_;
--- a/src/pooling/daemon.cpp
+++ b/src/pooling/daemon.cpp
@@ -28,14 +28,14 @@
 
 }  // namespace
 
-core::Result<std::unique_ptr<Daemon>> Daemon::start(boost::asio::io_context& io, PoolingOptions options,
+core::Result<std::unique_ptr<Daemon>> Daemon::start(boost::asio::io_context& io,
+                                                    const PoolingSettings& settings,
                                                     DaemonAdapters adapters) {
-  auto agent = agent::Agent::create(io, options.agent_options());
+  auto agent = agent::Agent::create(io, settings.options().agent_options());
   if (!agent) {
     return agent.error();
   }
-  std::unique_ptr<Daemon> daemon(
-      new Daemon(io, std::move(options), std::move(adapters), std::move(agent.value())));
+  std::unique_ptr<Daemon> daemon(new Daemon(io, settings, std::move(adapters), std::move(agent.value())));
   const auto opened = daemon->open_ports();
   if (!opened) {
     return opened.error();
@@ -43,10 +43,11 @@
   return daemon;
 }
 
-Daemon::Daemon(boost::asio::io_context& io, PoolingOptions options, DaemonAdapters adapters,
+Daemon::Daemon(boost::asio::io_context& io, const PoolingSettings& settings, DaemonAdapters adapters,
                std::unique_ptr<agent::Agent> agent)
     : io_(io),
-      options_(std::move(options)),
+      settings_(settings),
+      options_(settings.options()),
       adapters_(std::move(adapters)),
       agent_(std::move(agent)),
       backends_(io, *adapters_.connector, *agent_, options_.id, options_.zone),
@@ -166,6 +167,10 @@
 // --- Stop
 // ------------------------------------------------------------------------------------------------------
 
+void Daemon::reload() {
+  agent_->set_control(settings_.options().agent_options().control);
+}
+
 void Daemon::stop(std::function<void()> stopped) {
   boost::asio::co_spawn(io_, drain(std::move(stopped)), boost::asio::detached);
 }
--- a/src/pooling/daemon.hpp
+++ b/src/pooling/daemon.hpp
@@ -27,17 +27,21 @@
 /// A running daemon.
 class Daemon : public runtime::Daemon {
  public:
-  static core::Result<std::unique_ptr<Daemon>> start(boost::asio::io_context& io, PoolingOptions options,
+  /// `settings` outlives the daemon: it is asked again when the settings were read again.
+  static core::Result<std::unique_ptr<Daemon>> start(boost::asio::io_context& io,
+                                                     const PoolingSettings& settings,
                                                      DaemonAdapters adapters);
   ~Daemon() override;
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
 
   void stop(std::function<void()> stopped) override;
+  /// Takes over other control seeds; all else needs a restart.
+  void reload() override;
   [[nodiscard]] core::Duration stop_limit() const override { return options_.stop_grace; }
 
  private:
-  Daemon(boost::asio::io_context& io, PoolingOptions options, DaemonAdapters adapters,
+  Daemon(boost::asio::io_context& io, const PoolingSettings& settings, DaemonAdapters adapters,
          std::unique_ptr<agent::Agent> agent);
 
   core::Result<void> open_ports();
@@ -51,6 +55,7 @@
   void log_readiness();
 
   boost::asio::io_context& io_;
+  const PoolingSettings& settings_;
   PoolingOptions options_;
   DaemonAdapters adapters_;
   std::unique_ptr<agent::Agent> agent_;
--- a/src/runtime/program.cpp
+++ b/src/runtime/program.cpp
@@ -8,8 +8,13 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <filesystem>
+#include <functional>
 #include <iostream>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "logging/logging.hpp"
 
@@ -20,6 +25,8 @@
 using boost::system::error_code;
 
 constexpr rlim_t kOpenFiles = 1 << 20;
+/// How often the settings file is looked at: it may change without a signal.
+constexpr core::Duration kSettingsCheckInterval = std::chrono::seconds(2);
 
 /// Turns signals into one graceful stop.
 class Stopper {
@@ -74,6 +81,81 @@
   int exit_code_ = kExitDone;
 };
 
+/// Reads the settings again on SIGHUP and when their file has changed.
+class Reloader {
+ public:
+  Reloader(asio::io_context& io, Daemon& daemon, std::function<std::optional<core::Error>()> read,
+           std::filesystem::path file)
+      : daemon_(daemon),
+        read_(std::move(read)),
+        file_(std::move(file)),
+        changed_at_(last_change()),
+        signals_(io, SIGHUP),
+        timer_(io) {
+    wait_for_signal();
+    if (!file_.empty()) {
+      wait_for_change();
+    }
+  }
+
+ private:
+  void wait_for_signal() {
+    signals_.async_wait([this](const error_code& error, int /*signal*/) {
+      if (!error) {
+        wait_for_signal();
+        changed_at_ = last_change();
+        reload();
+      }
+    });
+  }
+
+  void wait_for_change() {
+    timer_.expires_after(kSettingsCheckInterval);
+    timer_.async_wait([this](const error_code& error) {
+      if (error) {
+        return;
+      }
+      const auto changed = last_change();
+      if (changed != changed_at_) {
+        changed_at_ = changed;
+        reload();
+      }
+      wait_for_change();
+    });
+  }
+
+  [[nodiscard]] std::filesystem::file_time_type last_change() const {
+    std::error_code ignored;
+    return std::filesystem::last_write_time(file_, ignored);
+  }
+
+  void reload() {
+    const auto log = logging::logger("runtime");
+    if (const auto error = read_()) {
+      log->error("The changed settings are not taken: {}", describe(*error));
+      return;
+    }
+    log->info("The settings were read again.");
+    daemon_.reload();
+  }
+
+  Daemon& daemon_;
+  std::function<std::optional<core::Error>()> read_;
+  std::filesystem::path file_;
+  std::filesystem::file_time_type changed_at_;
+  asio::signal_set signals_;
+  asio::steady_timer timer_;
+};
+
+/// The file that "--config FILE" names; empty when there is none.
+std::filesystem::path settings_file(const std::vector<std::string>& arguments) {
+  const auto option = std::find(arguments.begin(), arguments.end(), "--config");
+  if (option == arguments.end() || std::next(option) == arguments.end()) {
+    return {};
+  }
+  return *std::next(option);
+}
+
 }  // namespace
 
 void raise_open_file_limit() {
@@ -116,6 +198,7 @@
   }
   raise_open_file_limit();
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // Until the daemon has started: the settings have just been read.
   const auto log = logging::logger("runtime");
   asio::io_context io(1);
   auto started = start(io);
@@ -124,6 +207,12 @@
     return kExitFailed;
   }
   Stopper stopper(io, *started.value());
+  const std::vector<std::string> arguments(argv, argv + argc);
+  const auto read_again = [&]() -> std::optional<core::Error> {
+    const auto loaded = settings::load(program, section, arguments);
+    return loaded ? std::nullopt : std::optional(loaded.error());
+  };
+  const Reloader reloader(io, *started.value(), read_again, settings_file(arguments));
   log->info("{} {} runs.", program.name, PIPITPOND_VERSION);
   try {
     io.run();
--- a/src/runtime/program.hpp
+++ b/src/runtime/program.hpp
@@ -26,6 +26,8 @@
   virtual ~Daemon() = default;
   /// Begins a graceful stop: takes no new work, ends what is in progress, then calls `stopped` once.
   virtual void stop(std::function<void()> stopped) = 0;
+  /// The settings were read again: takes over those that may change while it runs. By default none may.
+  virtual void reload() {}
   /// Longest that the stop may take before the process ends anyway.
   [[nodiscard]] virtual core::Duration stop_limit() const { return kStopLimit; }
 };
@@ -38,7 +40,8 @@
 
 /// Runs a daemon until SIGTERM or SIGINT; a second signal ends it at once. Declares `log.level`, raises the
 /// limit of open files, and returns the exit code: 0, 1 when it can't start or stop, 2 for bad settings,
-/// which are printed.
+/// which are printed. On SIGHUP, and when the settings file has changed, the settings are read again; bad ones
+/// are logged and the daemon goes on with those it has.
 int run_daemon(int argc, char** argv, const settings::Program& program, settings::Section& section,
                const Start& start);
 
