--- a/src/failover/daemon_leases.cpp
+++ b/src/failover/daemon_leases.cpp
@@ -32,6 +32,7 @@
 void DaemonLeases::on_configuration(core::Instant now, const protocol::Configuration& configuration) {
   admitted_ = configuration.daemons;
   revision_ = configuration.revision;
+  note_primaries(configuration);
   if (!leading_) {
     return;
   }
@@ -82,13 +83,28 @@
   // A daemon that was removed and is back would, by the configuration that it still has, use budgets that
   // others have taken over meanwhile.
   const bool knows_its_admission = stays && heartbeat.applied >= admitted_.at(heartbeat.daemon).revision;
-  if (knows_its_admission) {
+  // One that was out of touch during a change of primary would, with a new lease, trust the replaced one.
+  const bool knows_primaries = heartbeat.applied >= primaries_revision_;
+  if (knows_its_admission && knows_primaries) {
     reply.lease_ms = static_cast<std::uint32_t>(core::to_millis(protocol::kDaemonLease));
   }
   reply.settled_everywhere = settled_everywhere();
   return reply;
 }
 
+void DaemonLeases::note_primaries(const protocol::Configuration& configuration) {
+  std::map<core::GroupName, Primary> primaries;
+  for (const auto& [name, group] : configuration.groups) {
+    if (group.sync_replicas > 0 && !group.terms.empty()) {
+      primaries[name] = Primary{group.terms.back().term, group.terms.back().primary};
+    }
+  }
+  if (primaries != primaries_) {
+    primaries_ = std::move(primaries);
+    primaries_revision_ = configuration.revision;
+  }
+}
+
 bool DaemonLeases::needs_admission(const protocol::Heartbeat& heartbeat) const {
   const auto found = admitted_.find(heartbeat.daemon);
   const protocol::Daemon described = described_by(heartbeat);
--- a/src/failover/daemon_leases.hpp
+++ b/src/failover/daemon_leases.hpp
@@ -64,6 +64,15 @@
     protocol::Revision applied = 0;
   };
 
+  /// The last term of a group and its primary.
+  struct Primary {
+    core::Term term = 0;
+    core::DatabaseId database;
+
+    bool operator==(const Primary&) const = default;
+  };
+
+  void note_primaries(const protocol::Configuration& configuration);
   [[nodiscard]] static bool is_removable(core::Instant now, const Entry& entry);
   /// Writes an entry and keeps the counts right.
   void put(const core::DaemonId& daemon, const Entry& entry);
@@ -72,6 +81,10 @@
 
   bool leading_ = false;
   protocol::Revision revision_ = 0;
+  /// Of groups that acknowledge by receipt: whoever has applied this revision knows all their primaries. A lease
+  /// says that its holder does.
+  protocol::Revision primaries_revision_ = 0;
+  std::map<core::GroupName, Primary> primaries_;
   std::map<core::DaemonId, protocol::Daemon> admitted_;
   std::map<core::DaemonId, Entry> entries_;
   /// How many entries have settled each revision, so that the smallest is known without a look at all.
