--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -116,9 +116,9 @@
 }
 
 void ControlServer::make_services() {
-  duties_ = std::make_unique<LeaderDuties>(io_, *replica_, [this](DatabaseCallAnswers answers) {
-    return make_database_calls(std::move(answers));
-  });
+  duties_ = std::make_unique<LeaderDuties>(
+      io_, *replica_, options_.daemon_lease,
+      [this](DatabaseCallAnswers answers) { return make_database_calls(std::move(answers)); });
   const auto forward = [this](core::Endpoint leader, protocol::OperatorRequest request,
                               core::Duration timeout) {
     return peers_.forward(std::move(leader), std::move(request), timeout);
--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -20,10 +20,12 @@
 
 }  // namespace
 
-LeaderDuties::LeaderDuties(boost::asio::io_context& io, Replica& replica, const MakeDatabaseCalls& make_calls)
+LeaderDuties::LeaderDuties(boost::asio::io_context& io, Replica& replica, core::Duration daemon_lease,
+                           const MakeDatabaseCalls& make_calls)
     : io_(io),
       timer_(io),
       replica_(replica),
+      leases_(daemon_lease),
       coordinator_([this](core::Instant now, protocol::Revision revision) {
         return leases_.followed_or_expired(now, revision);
       }),
--- a/src/control/leader_duties.hpp
+++ b/src/control/leader_duties.hpp
@@ -34,7 +34,8 @@
 /// Duties of a leader; idle on a follower.
 class LeaderDuties {
  public:
-  LeaderDuties(boost::asio::io_context& io, Replica& replica, const MakeDatabaseCalls& make_calls);
+  LeaderDuties(boost::asio::io_context& io, Replica& replica, core::Duration daemon_lease,
+               const MakeDatabaseCalls& make_calls);
   LeaderDuties(const LeaderDuties&) = delete;
   LeaderDuties& operator=(const LeaderDuties&) = delete;
 
--- a/src/control/options.cpp
+++ b/src/control/options.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr settings::Range kMillis{1, 60'000};
+/// Daemons renew their leases twice a second.
+constexpr settings::Range kLeaseMillis{1'200, 60'000};
 
 }  // namespace
 
@@ -62,6 +64,8 @@
                     "Longest wait for a database to promise a term");
   section_.duration("database.promote_timeout_ms", options_.database_calls.promote, kMillis,
                     "Longest wait for a database to become primary");
+  section_.duration("lease.duration_ms", options_.daemon_lease, kLeaseMillis,
+                    "How long a daemon's lease runs; the same on all control machines");
   section_.check([this] { return check(); });
 }
 
--- a/src/control/options.hpp
+++ b/src/control/options.hpp
@@ -45,6 +45,7 @@
   core::Duration election_timeout_min = protocol::kRaftElectionTimeoutMin;
   core::Duration election_timeout_max = protocol::kRaftElectionTimeoutMax;
   DatabaseCallTimeouts database_calls;
+  core::Duration daemon_lease = protocol::kDaemonLease;
 
   /// This machine as others reach it: its entry in `peers`, or else where it listens.
   [[nodiscard]] Peer self() const;
--- a/src/failover/daemon_leases.cpp
+++ b/src/failover/daemon_leases.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /// From the last grant until every connection of a daemon that went silent is surely closed.
-constexpr core::Duration kRemovalDelay =
-    protocol::kDaemonLease + protocol::kLeaseClockMargin + protocol::kDatabaseIdleTimeout;
+constexpr core::Duration kRemovalDelayAfterLease =
+    protocol::kLeaseClockMargin + protocol::kDatabaseIdleTimeout;
 
 }  // namespace
 
@@ -86,7 +86,7 @@
   // One that was out of touch during a change of primary would, with a new lease, trust the replaced one.
   const bool knows_primaries = heartbeat.applied >= primaries_revision_;
   if (knows_its_admission && knows_primaries) {
-    reply.lease_ms = static_cast<std::uint32_t>(core::to_millis(protocol::kDaemonLease));
+    reply.lease_ms = static_cast<std::uint32_t>(core::to_millis(lease_));
   }
   reply.settled_everywhere = settled_everywhere();
   return reply;
@@ -138,8 +138,8 @@
   }
 }
 
-bool DaemonLeases::is_removable(core::Instant now, const Entry& entry) {
-  return entry.departed || now - entry.last_grant >= kRemovalDelay;
+bool DaemonLeases::is_removable(core::Instant now, const Entry& entry) const {
+  return entry.departed || now - entry.last_grant >= lease_ + kRemovalDelayAfterLease;
 }
 
 std::vector<RemovableDaemon> DaemonLeases::removable(core::Instant now) const {
@@ -153,7 +153,7 @@
 }
 
 bool DaemonLeases::followed_or_expired(core::Instant now, protocol::Revision revision) const {
-  const core::Duration surely_ended = protocol::kDaemonLease + protocol::kLeaseClockMargin;
+  const core::Duration surely_ended = lease_ + protocol::kLeaseClockMargin;
   return std::all_of(entries_.begin(), entries_.end(), [&](const auto& one) {
     const Entry& entry = one.second;
     return entry.departed || entry.applied >= revision || now - entry.last_grant >= surely_ended;
--- a/src/failover/daemon_leases.hpp
+++ b/src/failover/daemon_leases.hpp
@@ -13,6 +13,7 @@
 #include "core/ids.hpp"
 #include "protocol/configuration.hpp"
 #include "protocol/control_messages.hpp"
+#include "protocol/tunables.hpp"
 
 namespace pipitpond::failover {
 
@@ -25,6 +26,9 @@
 /// Grants leases while this replica leads.
 class DaemonLeases {
  public:
+  /// `lease`: how long each lease runs. All replicas of control must use the same.
+  explicit DaemonLeases(core::Duration lease = protocol::kDaemonLease) : lease_(lease) {}
+
   /// Leadership was gained or lost. A new leader does not know which leases earlier leaders granted, so it
   /// removes nobody before the longest of them has surely ended.
   void on_leadership(core::Instant now, bool leading);
@@ -73,16 +77,17 @@
   };
 
   void note_primaries(const protocol::Configuration& configuration);
-  [[nodiscard]] static bool is_removable(core::Instant now, const Entry& entry);
+  [[nodiscard]] bool is_removable(core::Instant now, const Entry& entry) const;
   /// Writes an entry and keeps the counts right.
   void put(const core::DaemonId& daemon, const Entry& entry);
   void remove(const core::DaemonId& daemon);
   void count_out(const Entry& entry);
 
+  core::Duration lease_;
   bool leading_ = false;
   protocol::Revision revision_ = 0;
-  /// Of groups that acknowledge by receipt: whoever has applied this revision knows all their primaries. A lease
-  /// says that its holder does.
+  /// Of groups that acknowledge by receipt: whoever has applied this revision knows all their primaries. A
+  /// lease says that its holder does.
   protocol::Revision primaries_revision_ = 0;
   std::map<core::GroupName, Primary> primaries_;
   std::map<core::DaemonId, protocol::Daemon> admitted_;
--- a/src/pooling/backend_health.cpp
+++ b/src/pooling/backend_health.cpp
@@ -67,6 +67,7 @@
     return false;
   }
   probing_ = true;
+  probed_for_silence_ = silent(now);
   next_probe_ = now + (usable() ? kDoubtProbeInterval : kUnreachableProbeInterval);
   return true;
 }
@@ -78,7 +79,9 @@
     return;
   }
   doubted_ = true;
-  failures_ += refused ? kFailuresToGiveUp : 1;
+  // Statements and a probe without an answer are as much as two probes.
+  const bool certain = refused || (probed_for_silence_ && silent(now));
+  failures_ += certain ? kFailuresToGiveUp : 1;
 }
 
 bool BackendHealth::write_waits(core::Instant now) const {
--- a/src/pooling/backend_health.hpp
+++ b/src/pooling/backend_health.hpp
@@ -59,6 +59,7 @@
   bool doubted_ = false;
   std::uint32_t failures_ = 0;
   bool probing_ = false;
+  bool probed_for_silence_ = false;  ///< The probe under way was sent because an answer is overdue.
   core::Instant next_probe_{};
   bool not_primary_ = false;
   bool write_given_up_ = false;  ///< The last write or commit got no answer, although others did.
@@ -73,6 +74,6 @@
 /// Between probes of one that is taken to be unreachable.
 inline constexpr core::Duration kUnreachableProbeInterval = std::chrono::milliseconds(400);
 /// A probe without an answer for this long has failed.
-inline constexpr core::Duration kDoubtProbeTimeout = std::chrono::milliseconds(400);
+inline constexpr core::Duration kDoubtProbeTimeout = std::chrono::milliseconds(250);
 
 }  // namespace pipitpond::pooling
--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -286,7 +286,7 @@
 
 core::Duration BackendPool::expected_wait() const {
   const auto before = static_cast<std::int64_t>(in_use_.size() + waiters_.size());
-  return usual_latency_ * (before + 1);
+  return usual_latency_ + usual_latency_ * before / std::max<std::int64_t>(slots_, 1);
 }
 
 void BackendPool::note_latency(core::Duration taken) {
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -90,6 +90,8 @@
 
   /// Connections that may be held; idle ones beyond it are closed.
   void set_budget(std::uint32_t connections);
+  /// Statements that the database runs at once.
+  void set_slots(std::uint32_t slots) { slots_ = slots; }
   /// The database is gone or this daemon stops: no more connections. Those in use are closed when given back.
   void close();
 
@@ -140,6 +142,7 @@
   core::ZoneName zone_;
   BackendHealth health_;
   std::uint32_t budget_ = 0;
+  std::uint32_t slots_ = 1;
   bool closed_ = false;
   std::size_t opening_ = 0;
   core::Instant next_open_{};
--- a/src/pooling/backends.cpp
+++ b/src/pooling/backends.cpp
@@ -45,6 +45,7 @@
       const BackendAddress address{database.endpoint, group.name, database.id};
       member.pool = std::make_shared<BackendPool>(io_, connector_, address, database.zone);
     }
+    member.pool->set_slots(database.slots);
     member.draining = database.draining;
     member.departed = database.departed;
     members.emplace(database.id, std::move(member));
@@ -96,9 +97,31 @@
       }
     }
   }
+  note_missing_primaries(now);
   report_suspicions(now);
 }
 
+void Backends::note_missing_primaries(core::Instant now) {
+  const bool has_lease = agent_.lease_valid(now);
+  for (auto& [name, view] : groups_) {
+    const auto primary = view.members.find(view.primary);
+    const bool usable = primary != view.members.end() && primary->second.pool->health().usable();
+    if (has_lease && usable) {
+      view.without_primary_since.reset();
+    } else if (!view.without_primary_since) {
+      view.without_primary_since = now;
+    }
+  }
+}
+
+core::Duration Backends::without_primary(const core::GroupName& group, core::Instant now) const {
+  const GroupView* view = find(group);
+  if (view == nullptr || !view->without_primary_since) {
+    return core::Duration::zero();
+  }
+  return now - *view->without_primary_since;
+}
+
 void Backends::report_suspicions(core::Instant now) {
   std::vector<protocol::SuspicionReport> reports;
   for (auto& [name, view] : groups_) {
@@ -127,8 +150,8 @@
     return std::nullopt;
   }
   if (!need.primary && need.after) {
-    if (auto replica = choose_replica(*view, need, now)) {
-      return replica;
+    if (auto chosen = choose_for_read(*view, need, now)) {
+      return chosen;
     }
   }
   return choose_primary(*view, need);
@@ -143,19 +166,20 @@
   return BackendChoice{primary->second.pool, true, view.term};
 }
 
-std::optional<BackendChoice> Backends::choose_replica(const GroupView& view, const BackendNeed& need,
-                                                      core::Instant now) const {
+std::optional<BackendChoice> Backends::choose_for_read(const GroupView& view, const BackendNeed& need,
+                                                       core::Instant now) const {
   std::shared_ptr<BackendPool> best;
   core::Duration least{};
   for (const auto& [id, member] : view.members) {
     const BackendPool& pool = *member.pool;
-    const bool serves = id != view.primary && !member.draining && !member.departed &&
-                        pool.health().usable() && pool.budget() > 0 && !pool.behind(now) &&
+    const bool is_primary = id == view.primary;
+    const bool ends = !is_primary && (member.draining || member.departed);
+    const bool serves = !ends && pool.health().usable() && pool.budget() > 0 && !pool.behind(now) &&
                         !need.avoided.contains(id);
     if (!serves) {
       continue;
     }
-    const core::Duration expected = cost(pool);
+    const core::Duration expected = cost(pool) + (is_primary ? kPrimaryReadCost : core::Duration::zero());
     if (best == nullptr || expected < least) {
       best = member.pool;
       least = expected;
@@ -164,7 +188,8 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  return BackendChoice{std::move(best), false, view.term};
+  const bool is_primary = best->address().database == view.primary;
+  return BackendChoice{std::move(best), is_primary, view.term};
 }
 
 core::Duration Backends::cost(const BackendPool& pool) const {
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -61,6 +61,9 @@
   void note_position(const core::GroupName& group, const BackendChoice& choice, core::Instant sent,
                      core::Instant now, const core::LogPosition& position);
 
+  /// How long the group has had no primary that this daemon can use and surely knows; zero while it has one.
+  [[nodiscard]] core::Duration without_primary(const core::GroupName& group, core::Instant now) const;
+
   [[nodiscard]] std::size_t connections() const;
   /// Pools by database, for metrics.
   [[nodiscard]] std::vector<std::shared_ptr<BackendPool>> pools() const;
@@ -77,14 +80,16 @@
     core::DatabaseId primary;  ///< Empty while it changes.
     core::Term term = 0;
     PrimaryPositions positions;
+    std::optional<core::Instant> without_primary_since;
   };
 
   void apply_group(const protocol::Group& group);
   void set_budgets();
+  void note_missing_primaries(core::Instant now);
   void report_suspicions(core::Instant now);
   [[nodiscard]] const GroupView* find(const core::GroupName& group) const;
-  [[nodiscard]] std::optional<BackendChoice> choose_replica(const GroupView& view, const BackendNeed& need,
-                                                            core::Instant now) const;
+  [[nodiscard]] std::optional<BackendChoice> choose_for_read(const GroupView& view, const BackendNeed& need,
+                                                             core::Instant now) const;
   [[nodiscard]] std::optional<BackendChoice> choose_primary(const GroupView& view,
                                                             const BackendNeed& need) const;
   [[nodiscard]] core::Duration cost(const BackendPool& pool) const;
@@ -101,6 +106,8 @@
 /// How often to call Backends::tick.
 inline constexpr core::Duration kBackendsTick = std::chrono::milliseconds(50);
 /// What the way to another zone counts, in time of waiting: bytes between zones have a price.
-inline constexpr core::Duration kOtherZoneCost = std::chrono::milliseconds(8);
+inline constexpr core::Duration kOtherZoneCost = std::chrono::milliseconds(40);
+/// What a read at the primary counts, which writes need for themselves.
+inline constexpr core::Duration kPrimaryReadCost = std::chrono::milliseconds(10);
 
 }  // namespace pipitpond::pooling
--- a/src/pooling/caller_session.cpp
+++ b/src/pooling/caller_session.cpp
@@ -19,6 +19,8 @@
 constexpr core::Duration kSecondSearch = std::chrono::milliseconds(150);
 /// Reads that ran and failed are run this often in all.
 constexpr std::uint32_t kReadAttempts = 3;
+/// Statements wait for a new primary while one may be expected within this time of the old one's loss.
+constexpr core::Duration kUsualPrimaryChange = std::chrono::milliseconds(3000);
 constexpr core::Duration kBusyPause = std::chrono::milliseconds(10);
 constexpr core::Duration kNoBackendPause = std::chrono::milliseconds(15);
 /// When a caller may come back after its statement was given up.
@@ -184,7 +186,9 @@
       co_return std::move(*reply);
     }
     const core::Instant now = core::BootClock::now();
-    if (now >= search->stop_waiting) {
+    // A change of primary is soon over, or takes long: waiting on helps nobody then.
+    const bool hopeless = services_.backends.without_primary(search->route.group, now) >= kUsualPrimaryChange;
+    if (now >= search->stop_waiting || hopeless) {
       co_return give_up(*search);
     }
     if (search->pause > core::Duration::zero()) {
