--- a/src/control/status_json.cpp
+++ b/src/control/status_json.cpp
@@ -1,7 +1,5 @@
 #include "control/status_json.hpp"
 
-#include <string_view>
-
 #include "control/operator_json.hpp"
 #include "ownership/owner_table.hpp"
 
@@ -10,20 +8,6 @@
 
 using nlohmann::json;
 
-std::string_view to_string(protocol::Suspicion suspicion) {
-  switch (suspicion) {
-    case protocol::Suspicion::kUnreachable:
-      return "unreachable";
-    case protocol::Suspicion::kReplicationStalled:
-      return "replication_stalled";
-    case protocol::Suspicion::kNotPrimary:
-      return "not_primary";
-    case protocol::Suspicion::kLeaving:
-      return "leaving";
-  }
-  return "unknown";
-}
-
 json replica_json(const raft::Member& member, const Replica& replica, core::Instant now) {
   json out = {{"id", member.id},
               {"internal", member.internal},
--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -168,13 +168,15 @@
   if (tally.majority_lost()) {
     return true;
   }
-  const bool leader_agrees = leader_lost_primary(now) || stall_confirmed(now);
+  // With a majority of the daemons, one failed probe of the leader's own is enough.
+  const bool doubted_too = acknowledges_by_receipt() && watch_.doubtful(primary());
+  const bool leader_agrees = leader_lost_primary(now) || stall_confirmed(now) || doubted_too;
   if (tally.majority_suspects() || tally.heard_majority_suspects()) {
     return leader_agrees;
   }
   // Some callers can't write, and the leader itself could not stop the primary: moving it serves all of them.
   const bool cut_in_part = acknowledges_by_receipt() && tally.part_lost() && leader_lost_primary(now);
-  return cut_in_part || (tally.owners == 0 && leader_agrees);
+  return cut_in_part || (tally.owners == 0 && (leader_lost_primary(now) || stall_confirmed(now)));
 }
 
 bool GroupCoordinator::leader_lost_primary(core::Instant now) const {
--- a/src/failover/member_watch.cpp
+++ b/src/failover/member_watch.cpp
@@ -92,6 +92,11 @@
   return found != members_.end() && found->second.failures >= protocol::kProbeFailuresToSuspect;
 }
 
+bool MemberWatch::doubtful(const core::DatabaseId& database) const {
+  const auto found = members_.find(database);
+  return found != members_.end() && found->second.failures > 0;
+}
+
 const database::StatusAnswer* MemberWatch::status(const core::DatabaseId& database) const {
   const auto found = members_.find(database);
   if (found == members_.end() || !found->second.status.has_value()) {
--- a/src/failover/member_watch.hpp
+++ b/src/failover/member_watch.hpp
@@ -35,6 +35,8 @@
   [[nodiscard]] std::size_t count_reachable(core::Instant now, const core::DatabaseId& except = {}) const;
   /// Failed kProbeFailuresToSuspect probes in a row.
   [[nodiscard]] bool silent(const core::DatabaseId& database) const;
+  /// Failed its last probe.
+  [[nodiscard]] bool doubtful(const core::DatabaseId& database) const;
   /// Last answer, or null.
   [[nodiscard]] const database::StatusAnswer* status(const core::DatabaseId& database) const;
   /// True when a reachable member other than `primary` has received entries within kProgressWindow: the
--- a/src/pooling/backends.cpp
+++ b/src/pooling/backends.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "logging/logging.hpp"
+
 namespace pipitpond::pooling {
 
 Backends::Backends(boost::asio::io_context& io, BackendConnector& connector, agent::Agent& agent,
@@ -124,15 +126,34 @@
 
 void Backends::report_suspicions(core::Instant now) {
   std::vector<protocol::SuspicionReport> reports;
+  std::map<core::DatabaseId, protocol::Suspicion> suspicions;
   for (auto& [name, view] : groups_) {
     for (auto& [id, member] : view.members) {
       const auto suspicion = member.pool->health().suspicion(now, id == view.primary);
       if (suspicion) {
         reports.push_back(protocol::SuspicionReport{id, *suspicion, view.term, 0});
+        suspicions.emplace(id, *suspicion);
       }
     }
   }
   agent_.set_suspicions(std::move(reports));
+  log_suspicions(suspicions);
+}
+
+void Backends::log_suspicions(const std::map<core::DatabaseId, protocol::Suspicion>& suspicions) {
+  const auto log = logging::logger("backends");
+  for (const auto& [id, suspicion] : suspicions) {
+    const auto known = suspicions_.find(id);
+    if (known == suspicions_.end() || known->second != suspicion) {
+      log->warn("event=suspect database={} suspicion={}", id.value(), protocol::to_string(suspicion));
+    }
+  }
+  for (const auto& [id, suspicion] : suspicions_) {
+    if (!suspicions.contains(id)) {
+      log->info("event=trust database={} suspicion_ended={}", id.value(), protocol::to_string(suspicion));
+    }
+  }
+  suspicions_ = suspicions;
 }
 
 // --- Choice
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -87,6 +87,7 @@
   void set_budgets();
   void note_missing_primaries(core::Instant now);
   void report_suspicions(core::Instant now);
+  void log_suspicions(const std::map<core::DatabaseId, protocol::Suspicion>& suspicions);
   [[nodiscard]] const GroupView* find(const core::GroupName& group) const;
   [[nodiscard]] std::optional<BackendChoice> choose_for_read(const GroupView& view, const BackendNeed& need,
                                                              core::Instant now) const;
@@ -100,6 +101,7 @@
   core::DaemonId self_;
   core::ZoneName zone_;
   std::map<core::GroupName, GroupView> groups_;
+  std::map<core::DatabaseId, protocol::Suspicion> suspicions_;  ///< As last told.
   bool closed_ = false;
 };
 
--- a/src/protocol/control_messages.hpp
+++ b/src/protocol/control_messages.hpp
@@ -22,6 +22,21 @@
   kLeaving,             ///< It says that it is being stopped.
 };
 
+/// Stable text of a suspicion, for JSON and logs.
+constexpr const char* to_string(Suspicion suspicion) {
+  switch (suspicion) {
+    case Suspicion::kUnreachable:
+      return "unreachable";
+    case Suspicion::kReplicationStalled:
+      return "replication_stalled";
+    case Suspicion::kNotPrimary:
+      return "not_primary";
+    case Suspicion::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
 /// One database that an owner mistrusts. Reported while it lasts, from the change on at once.
 struct SuspicionReport {
   core::DatabaseId database;
--- a/src/wire/channel.cpp
+++ b/src/wire/channel.cpp
@@ -28,8 +28,8 @@
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr auto kConnectTimeout = std::chrono::seconds(3);
-constexpr auto kMinBackoff = std::chrono::milliseconds(50);
-constexpr auto kMaxBackoff = std::chrono::milliseconds(1000);
+constexpr auto kMinBackoff = std::chrono::milliseconds(25);
+constexpr auto kMaxBackoff = std::chrono::milliseconds(250);
 /// A peer that has not answered a ping for this long is gone.
 constexpr auto kPongTimeout = std::chrono::seconds(3);
 
