Believe one writer's word of missing receipts when the leader sees them missing; let a forgotten voter join again

The leader now compares the logs itself. ReceiptsTest.OneWriterIsEnough names it. - OpenMembership.ARemovedVoterThatReturnsJoinsAgain: a voter that was removed while it was cut off did not know, and stayed outside for good. It now asks to join after half of the time after which silent voters are removed.

--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -176,7 +176,10 @@
   }
   // Some callers can't write, and the leader itself could not stop the primary: moving it serves all of them.
   const bool cut_in_part = acknowledges_by_receipt() && tally.part_lost() && leader_lost_primary(now);
-  return cut_in_part || (tally.owners == 0 && (leader_lost_primary(now) || stall_confirmed(now)));
+  // Only those that write see the stall; the others can't contradict them, but the leader can.
+  const bool no_receipts = acknowledges_by_receipt() && tally.stalled > 0 && receipts_missing(now);
+  return cut_in_part || no_receipts ||
+         (tally.owners == 0 && (leader_lost_primary(now) || stall_confirmed(now)));
 }
 
 bool GroupCoordinator::leader_lost_primary(core::Instant now) const {
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -39,6 +39,10 @@
 bool Node::wants_to_join() const {
   const auto* self = membership().find(config_.id);
   if (self == nullptr) return true;
+  // It may have been removed while it was out of touch: then nobody sends it anything, not even that news.
+  const bool forgotten = config_.open_membership && role_ != Role::kLeader &&
+                         now_ - last_leader_contact_ >= config_.remove_silent_after / 2;
+  if (forgotten) return true;
   return self->role == MemberRole::kLearner && !leader_.has_value();
 }
 
--- a/tests/failover_logic/receipts_test.cpp
+++ b/tests/failover_logic/receipts_test.cpp
@@ -247,6 +247,19 @@
   EXPECT_NE(primary(), "a");
 }
 
+TEST_F(ReceiptsTest, OneWriterIsEnoughToTellOfMissingReceipts) {
+  run(milliseconds(500));
+  databases_["a"].received = {1, 70};
+  run(milliseconds(3000), 1, protocol::Suspicion::kReplicationStalled);
+  EXPECT_NE(primary(), "a");
+}
+
+TEST_F(ReceiptsTest, AStallThatTheLeaderDoesNotSeeChangesNothing) {
+  run(milliseconds(500));
+  run(milliseconds(3000), 2, protocol::Suspicion::kReplicationStalled);
+  EXPECT_EQ(primary(), "a");
+}
+
 TEST_F(ReceiptsTest, ALeavingPrimaryIsReplacedSoon) {
   run(milliseconds(500));
   group_.databases[0].draining = true;
--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -153,9 +153,8 @@
              core::to_string(controls_[static_cast<std::size_t>(number)].http) + "\"";
   }
   for (std::size_t number = 0; number < controls_.size(); ++number) {
-    write_control(number, seeds, internal, true);
-    start(controls_[number], "pipitpond-platform-control");
-    write_control(number, seeds, internal, false);  // For later starts.
+    write_control(number, seeds, internal);
+    start(controls_[number], "pipitpond-platform-control", {"--cluster.bootstrap=true"});
   }
   for (std::size_t number = 0; number < static_cast<std::size_t>(proxies); ++number) {
     write_proxy(number, seeds, internal);
@@ -163,13 +162,12 @@
   }
 }
 
-void PlatformFleet::write_control(std::size_t number, const std::string& seeds, std::uint16_t internal,
-                                  bool bootstrap) {
+void PlatformFleet::write_control(std::size_t number, const std::string& seeds, std::uint16_t internal) {
   Member& member = controls_[number];
   member.settings = folder_ / ("control-" + std::to_string(number) + ".toml");
   std::ofstream file(member.settings);
   file << "[node]\nid = \"" << control_address(number) << "\"\n"
-       << "[cluster]\nseeds = [" << seeds << "]\nbootstrap = " << (bootstrap ? "true" : "false") << "\n"
+       << "[cluster]\nseeds = [" << seeds << "]\n"
        << "[data]\nfolder = \"" << (folder_ / ("data-" + std::to_string(number))).string() << "\"\n"
        << "[listen]\nhttp = \"" << core::to_string(member.http) << "\"\ninternal = \""
        << control_address(number) << ":" << internal << "\"\n"
@@ -191,10 +189,11 @@
        << "[admin]\nready_path = \"/ready\"\n";
 }
 
-void PlatformFleet::start(Member& member, const char* program) {
+void PlatformFleet::start(Member& member, const char* program, const std::vector<std::string>& more) {
   process::ChildOptions options;
   options.program = std::filesystem::path(std::getenv("PIPITPOND_BIN")) / program;
   options.arguments = {"--config", member.settings.string()};
+  options.arguments.insert(options.arguments.end(), more.begin(), more.end());
   options.output = member.settings.string() + ".log";
   auto child = process::Child::start(options);
   if (child) {
--- a/tests/platform/platform_fleet.hpp
+++ b/tests/platform/platform_fleet.hpp
@@ -85,9 +85,9 @@
   };
 
   void make_settings(int controls, int proxies);
-  void write_control(std::size_t number, const std::string& seeds, std::uint16_t internal, bool bootstrap);
+  void write_control(std::size_t number, const std::string& seeds, std::uint16_t internal);
   void write_proxy(std::size_t number, const std::string& seeds, std::uint16_t internal);
-  void start(Member& member, const char* program);
+  void start(Member& member, const char* program, const std::vector<std::string>& more = {});
   std::pair<unsigned, std::string> call(const core::Endpoint& endpoint, const std::string& method,
                                         const std::string& path, const std::string& body);
 
