Tell on standard output what was decided for statements that failed or came late

A trace is kept while a statement runs and written only when it goes wrong: sent where, with which term and position, what came back, what it was given up for. Lines are bounded per part and second and never block: a reader that does not read costs counted lines, not time. Times of statements as histograms by kind and outcome.

--- a/src/configuration/plan.cpp
+++ b/src/configuration/plan.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 using protocol::Change;
-using protocol::Configuration;
 using protocol::Control;
 using protocol::Daemon;
 using protocol::Database;
--- a/src/configuration/registry_plan.hpp
+++ b/src/configuration/registry_plan.hpp
@@ -14,7 +14,8 @@
 /// Connections that a self-registered database keeps free for control's own calls: those of the leader and of
 /// one that has just been replaced.
 inline constexpr std::uint32_t kConnectionsForControl = 4;
-/// Connections that each owner of a self-registered database gets at least. Daemons beyond that many own none.
+/// Connections that each owner of a self-registered database gets at least. Daemons beyond that many own
+/// none.
 inline constexpr std::uint32_t kConnectionsPerOwner = 1;
 
 }  // namespace pipitpond::configuration
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 
+#include "logging/logging.hpp"
 #include "policy/program.hpp"
 #include "wire/codec.hpp"
 
@@ -76,6 +77,7 @@
       notices_(io, [this](protocol::Revision revision) { tell_daemons(revision); }) {}
 
 awaitable<core::Result<void>> ControlServer::start() {
+  logging::set_process(options_.name);
   auto disk = co_await start_disk(options_, peers_);
   if (!disk) {
     co_return disk.error();
@@ -198,6 +200,9 @@
 }
 
 void ControlServer::on_leadership(bool leading) {
+  logging::logger("control")->info("event={} term={} revision={}",
+                                   leading ? "leadership_gained" : "leadership_lost", replica_->node().term(),
+                                   replica_->machine().configuration().revision);
   duties_->on_leadership(leading);
 }
 
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -64,6 +64,8 @@
   /// How long the group has had no primary that this daemon can use and surely knows; zero while it has one.
   [[nodiscard]] core::Duration without_primary(const core::GroupName& group, core::Instant now) const;
 
+  /// Revision of the configuration in force.
+  [[nodiscard]] protocol::Revision revision() const { return agent_.configuration().revision; }
   [[nodiscard]] std::size_t connections() const;
   /// Pools by database, for metrics.
   [[nodiscard]] std::vector<std::shared_ptr<BackendPool>> pools() const;
--- a/src/pooling/caller_session.cpp
+++ b/src/pooling/caller_session.cpp
@@ -41,6 +41,10 @@
   return reply;
 }
 
+TraceStep step_at(const BackendChoice& choice, TraceEvent event, std::string detail) {
+  return TraceStep{{}, event, choice.pool->address().database, choice.term, {}, std::move(detail)};
+}
+
 std::string come_back_text(const std::string& reason) {
   return "retry in " + std::to_string(core::to_millis(kComeBackAfter)) + " ms: " + reason;
 }
@@ -51,6 +55,15 @@
 
 }  // namespace
 
+CallerSession::Transaction::Transaction(protocol::Route its_route, BackendChoice its_choice,
+                                        ConnectionLease its_lease)
+    : route(std::move(its_route)),
+      lease(std::move(its_lease)),
+      choice(std::move(its_choice)),
+      failed(false),
+      wrote(false),
+      rested_since(core::BootClock::now()) {}
+
 CallerSession::CallerSession(SessionServices& services, std::string database)
     : services_(services), database_(std::move(database)) {
   services_.sessions.insert(this);
@@ -165,6 +178,7 @@
   Search search;
   const core::Duration timeout = std::chrono::milliseconds(route->timeout_ms);
   search.started = core::BootClock::now();
+  search.trace = RequestTrace(search.started);
   search.deadline = search.started + timeout;
   search.stop_waiting = search.started + timeout * kWaitingShareNumerator / kWaitingShareDenominator;
   search.needs_primary = route->kind == protocol::RouteKind::kPrimary || may_write(statement) ||
@@ -180,24 +194,44 @@
   if (!search) {
     co_return failed_reply(FailureCode::kUnknownDatabase, database_, TransactionState::kIdle);
   }
+  StatementReply reply = co_await search_until_answered(*search);
+  write_trace(*search, reply);
+  co_return reply;
+}
+
+awaitable<StatementReply> CallerSession::search_until_answered(Search& search) {
   while (true) {
-    auto reply = co_await attempt(*search);
+    auto reply = co_await attempt(search);
     if (reply) {
       co_return std::move(*reply);
     }
     const core::Instant now = core::BootClock::now();
     // A change of primary is soon over, or takes long: waiting on helps nobody then.
-    const bool hopeless = services_.backends.without_primary(search->route.group, now) >= kUsualPrimaryChange;
-    if (now >= search->stop_waiting || hopeless) {
-      co_return give_up(*search);
+    const bool hopeless = services_.backends.without_primary(search.route.group, now) >= kUsualPrimaryChange;
+    if (now >= search.stop_waiting || hopeless) {
+      co_return give_up(search);
     }
-    if (search->pause > core::Duration::zero()) {
-      co_await pause_for(services_.io, std::min(search->pause, search->stop_waiting - now));
-      search->pause = core::Duration::zero();
+    if (search.pause > core::Duration::zero()) {
+      co_await pause_for(services_.io, std::min(search.pause, search.stop_waiting - now));
+      search.pause = core::Duration::zero();
     }
   }
 }
 
+/// Failures, and answers that came later than the route's goal. What only the caller got wrong is not told.
+void CallerSession::write_trace(const Search& search, const StatementReply& reply) const {
+  const core::Instant now = core::BootClock::now();
+  const core::Duration goal = std::chrono::milliseconds(search.route.goal_ms);
+  const bool late = goal > core::Duration::zero() && search.trace.taken(now) > goal;
+  services_.times.observe(search.route.kind, !reply.failure, search.trace.taken(now));
+  if (!reply.failure && !late) {
+    return;
+  }
+  const TraceSubject subject{search.statement.id, search.route.name, search.route.group,
+                             services_.routes.version(), services_.backends.revision()};
+  search.trace.write(now, subject, reply);
+}
+
 StatementReply CallerSession::give_up(const Search& search) const {
   ++services_.counters.given_up;
   Failure failure = search.last_failure;
@@ -227,6 +261,7 @@
   const core::Instant now = core::BootClock::now();
   auto choice = services_.backends.choose(search.route.group, need_of(search, now), now);
   if (!choice) {
+    search.trace.add(now, TraceStep{{}, TraceEvent::kNoBackend, {}, 0, {}, search.last_failure.text});
     search.avoided.clear();
     search.pause = kNoBackendPause;
     co_return std::nullopt;
@@ -235,6 +270,8 @@
   auto lease = co_await BackendPool::acquire(choice->pool, request);
   if (!lease) {
     search.last_failure = Failure{FailureCode::kBusy, lease.error().message};
+    search.trace.add(core::BootClock::now(),
+                     step_at(*choice, TraceEvent::kNoConnection, lease.error().message));
     search.avoided.insert(choice->pool->address().database);
     search.pause = choice->is_primary ? kBusyPause : core::Duration::zero();
     co_return std::nullopt;
@@ -251,6 +288,9 @@
   if (!may_write(search.statement)) {
     statement.after = need.after;
   }
+  TraceStep sending = step_at(choice, TraceEvent::kSent, choice.is_primary ? "primary" : "replica");
+  sending.after = statement.after;
+  search.trace.add(sent, std::move(sending));
   auto ran = co_await lease.run(session_, std::move(statement), time_left(search.deadline, sent));
   const core::Instant now = core::BootClock::now();
   if (!ran) {
@@ -268,6 +308,7 @@
   }
   if (!may_write(search.statement) && !surely_fresh(search, choice, need, now)) {
     search.last_failure = Failure{FailureCode::kBusy, "the primary is not certain"};
+    search.trace.add(now, step_at(choice, TraceEvent::kNotCertain, "no lease, or a newer term"));
     search.pause = kNoBackendPause;
     if (begins(search.statement)) {
       lease.discard();
@@ -290,6 +331,7 @@
   const core::Instant now = core::BootClock::now();
   search.avoided.insert(choice.pool->address().database);
   search.last_failure = Failure{FailureCode::kBusy, error.message};
+  search.trace.add(now, step_at(choice, TraceEvent::kLost, error.message));
   if (error.kind == core::ErrorKind::kConnectionRefused) {
     return std::nullopt;
   }
@@ -311,6 +353,9 @@
   BackendPool& pool = *choice.pool;
   search.last_failure = *reply.failure;
   const FailureCode code = reply.failure->code;
+  search.trace.add(
+      core::BootClock::now(),
+      step_at(choice, surely_not_run(code) ? TraceEvent::kNotRun : TraceEvent::kFailed, to_string(code)));
   if (code == FailureCode::kBehind) {
     pool.note_behind(core::BootClock::now());
   }
@@ -348,11 +393,7 @@
     ++(choice.is_primary ? services_.counters.reads_at_primaries : services_.counters.reads_at_replicas);
   }
   if (begins(search.statement)) {
-    transaction_.emplace();
-    transaction_->route = search.route;
-    transaction_->choice = choice;
-    transaction_->lease.emplace(std::move(lease));
-    transaction_->rested_since = core::BootClock::now();
+    transaction_.emplace(search.route, choice, std::move(lease));
   }
   return reply;
 }
@@ -372,17 +413,42 @@
   BackendStatement asked{statement, {}};
   auto ran = co_await transaction_->lease->run(session_, std::move(asked), timeout);
   if (!ran) {
-    co_return on_transaction_lost(statement, ran.error());
+    const Transaction& lost_one = *transaction_;
+    const BackendChoice choice = lost_one.choice;
+    const protocol::Route route = lost_one.route;
+    StatementReply lost = on_transaction_lost(statement, ran.error());
+    write_transaction_failure(statement, sent, TransactionPlace{choice, route}, TraceEvent::kLost, lost);
+    co_return lost;
   }
   StatementReply reply = std::move(ran.value());
   if (reply.position) {
     services_.backends.note_position(transaction_->route.group, transaction_->choice, sent,
                                      core::BootClock::now(), *reply.position);
   }
+  if (reply.failure) {
+    const bool not_run = surely_not_run(reply.failure->code);
+    write_transaction_failure(statement, sent, TransactionPlace{transaction_->choice, transaction_->route},
+                              not_run ? TraceEvent::kNotRun : TraceEvent::kFailed, reply);
+  }
   after_transaction_statement(statement, reply);
   co_return reply;
 }
 
+void CallerSession::write_transaction_failure(const Statement& statement, core::Instant sent,
+                                              const TransactionPlace& place, TraceEvent event,
+                                              const StatementReply& reply) const {
+  if (!reply.failure) {
+    return;
+  }
+  RequestTrace trace(sent);
+  trace.add(sent, step_at(place.choice, TraceEvent::kSent, "transaction"));
+  const core::Instant now = core::BootClock::now();
+  trace.add(now, step_at(place.choice, event, to_string(reply.failure->code)));
+  const TraceSubject subject{statement.id, place.route.name, place.route.group, services_.routes.version(),
+                             services_.backends.revision()};
+  trace.write(now, subject, reply);
+}
+
 /// The database rolls back when the connection ends, so nothing is kept unless a commit may have arrived.
 StatementReply CallerSession::on_transaction_lost(const Statement& statement, const core::Error& error) {
   const bool may_be_kept = statement.kind == StatementKind::kCommit && transaction_->wrote &&
--- a/src/pooling/caller_session.hpp
+++ b/src/pooling/caller_session.hpp
@@ -12,6 +12,7 @@
 #include "core/log_position.hpp"
 #include "pooling/backends.hpp"
 #include "pooling/metrics.hpp"
+#include "pooling/request_trace.hpp"
 #include "pooling/routes.hpp"
 #include "pooling/session_state.hpp"
 #include "pooling/statement.hpp"
@@ -26,6 +27,7 @@
   Backends& backends;
   Routes& routes;
   PoolingCounters& counters;
+  StatementTimes& times;
   std::set<CallerSession*> sessions;  ///< All that are open.
 };
 
@@ -53,14 +55,22 @@
  private:
   /// A transaction and the connection that it keeps.
   struct Transaction {
+    Transaction(protocol::Route its_route, BackendChoice its_choice, ConnectionLease its_lease);
+
     protocol::Route route;
     std::optional<ConnectionLease> lease;  ///< Empty once the connection is lost.
     BackendChoice choice;
-    bool failed = false;
-    bool wrote = false;
+    bool failed;
+    bool wrote;
     core::Instant rested_since;
   };
 
+  /// Where a transaction runs.
+  struct TransactionPlace {
+    BackendChoice choice;
+    protocol::Route route;
+  };
+
   /// One statement outside a transaction, or the begin of one, while a database is sought for it.
   struct Search {
     protocol::Route route;
@@ -73,6 +83,7 @@
     std::uint32_t failed_reads = 0;
     Failure last_failure;
     core::Duration pause{};  ///< Before the next attempt.
+    RequestTrace trace{core::Instant{}};
   };
 
   boost::asio::awaitable<StatementReply> dispatch(Statement statement);
@@ -82,6 +93,11 @@
   StatementReply end_failed_transaction(const Statement& statement);
 
   boost::asio::awaitable<StatementReply> run_first(Statement statement);
+  boost::asio::awaitable<StatementReply> search_until_answered(Search& search);
+  void write_trace(const Search& search, const StatementReply& reply) const;
+  void write_transaction_failure(const Statement& statement, core::Instant sent,
+                                 const TransactionPlace& place, TraceEvent event,
+                                 const StatementReply& reply) const;
   std::optional<Search> begin_search(Statement statement) const;
   [[nodiscard]] BackendNeed need_of(const Search& search, core::Instant now) const;
   [[nodiscard]] bool surely_fresh(const Search& search, const BackendChoice& choice, const BackendNeed& need,
--- a/src/pooling/daemon.cpp
+++ b/src/pooling/daemon.cpp
@@ -31,6 +31,7 @@
 core::Result<std::unique_ptr<Daemon>> Daemon::start(boost::asio::io_context& io,
                                                     const PoolingSettings& settings,
                                                     DaemonAdapters adapters) {
+  logging::set_process(settings.options().id.value());
   auto agent = agent::Agent::create(io, settings.options().agent_options());
   if (!agent) {
     return agent.error();
@@ -51,7 +52,7 @@
       adapters_(std::move(adapters)),
       agent_(std::move(agent)),
       backends_(io, *adapters_.connector, *agent_, options_.id, options_.zone),
-      services_{io, backends_, routes_, counters_, {}} {}
+      services_{io, backends_, routes_, counters_, times_, {}} {}
 
 Daemon::~Daemon() = default;
 
@@ -81,6 +82,10 @@
 }
 
 void Daemon::apply(const protocol::Configuration& configuration) {
+  if (configuration.routes.version != routes_.version()) {
+    logging::logger("pooling")->info("event=routes_in_force version={} revision={}",
+                                     configuration.routes.version, configuration.revision);
+  }
   routes_.apply(configuration.routes);
   backends_.apply(configuration);
 }
@@ -91,6 +96,9 @@
     const bool has_lease = agent_->lease_valid(now);
     if (had_lease_ && !has_lease) {
       lease_lost_since_ = now;
+      logging::logger("pooling")->warn("event=lease_lost revision={}", agent_->configuration().revision);
+    } else if (!had_lease_ && has_lease) {
+      logging::logger("pooling")->info("event=lease_gained revision={}", agent_->configuration().revision);
     }
     had_lease_ = has_lease;
     backends_.tick(now);
@@ -128,7 +136,8 @@
   } else if (request.path == "/metrics") {
     response.content_type = metrics::kContentType;
     response.body =
-        metrics_page(counters_, backends_, *agent_, listener_->sessions(), not_ready_reason().empty());
+        metrics_page(counters_, backends_, *agent_, listener_->sessions(), not_ready_reason().empty()) +
+        times_.text();
   } else {
     response.status = 404;
     response.body = "There is " + options_.ready_path + " and /metrics.";
--- a/src/pooling/daemon.hpp
+++ b/src/pooling/daemon.hpp
@@ -62,6 +62,7 @@
   Backends backends_;
   Routes routes_;
   PoolingCounters counters_;
+  StatementTimes times_;
   SessionServices services_;
   std::unique_ptr<CallerListener> listener_;
   std::unique_ptr<http::Server> admin_;
--- /dev/null
+++ b/src/pooling/metrics.cpp
@@ -0,0 +1,23 @@
+#include "pooling/metrics.hpp"
+
+namespace pipitpond::pooling {
+
+StatementTimes::StatementTimes() {
+  for (const char* kind : {"primary", "bounded", "session"}) {
+    for (const char* outcome : {"failed", "succeeded"}) {
+      histograms_.push_back(
+          registry_.histogram("pipitpond_pooling_statement_seconds",
+                              "Time of first statements of callers, the wait for a database included.",
+                              metrics::request_seconds(), {{"kind", kind}, {"outcome", outcome}}));
+    }
+  }
+}
+
+void StatementTimes::observe(protocol::RouteKind kind, bool succeeded, core::Duration taken) {
+  const auto number = static_cast<std::size_t>(kind);
+  if (number < kKinds) {
+    histograms_.at(2 * number + (succeeded ? 1 : 0)).observe(std::chrono::duration<double>(taken).count());
+  }
+}
+
+}  // namespace pipitpond::pooling
--- a/src/pooling/metrics.hpp
+++ b/src/pooling/metrics.hpp
@@ -4,9 +4,12 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <vector>
 
+#include "core/clock.hpp"
 #include "metrics/metrics.hpp"
 #include "pooling/statement.hpp"
+#include "protocol/configuration.hpp"
 
 namespace pipitpond::pooling {
 
@@ -22,4 +25,20 @@
   std::array<std::uint64_t, 14> failures{};  ///< By FailureCode.
 };
 
+/// Times of callers' statements, by the kind of their route and their outcome.
+class StatementTimes {
+ public:
+  StatementTimes();
+
+  void observe(protocol::RouteKind kind, bool succeeded, core::Duration taken);
+  /// In the text format of Prometheus.
+  [[nodiscard]] std::string text() const { return registry_.text(); }
+
+ private:
+  static constexpr std::size_t kKinds = 3;
+
+  metrics::Registry registry_;
+  std::vector<metrics::Histogram> histograms_;  ///< By kind, failures before successes.
+};
+
 }  // namespace pipitpond::pooling
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -1,5 +1,6 @@
 #include "pooling/metrics_page.hpp"
 
+#include "logging/logging.hpp"
 #include "metrics/metrics.hpp"
 
 namespace pipitpond::pooling {
@@ -68,6 +69,8 @@
   const auto gauge = [&registry](const std::string& name, const std::string& help, double value) {
     registry.gauge("pipitpond_pooling_" + name, help).set(value);
   };
+  registry.counter("pipitpond_pooling_log_lines_left_out_total", "Lines of the log that were not written.")
+      .increment(number(logging::lines_left_out()));
   gauge("sessions", "Callers' sessions that are open.", number(sessions));
   gauge("ready", "1 while the daemon calls itself ready.", ready ? 1 : 0);
   gauge("lease_valid", "1 while control's lease is valid.",
--- a/src/runtime/program.cpp
+++ b/src/runtime/program.cpp
@@ -196,6 +196,7 @@
   if (const auto exit_code = load_settings(argc, argv, program, section)) {
     return *exit_code;
   }
+  logging::use_standard_output();
   raise_open_file_limit();
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // Until the daemon has started: the settings have just been read.
--- a/src/runtime/program.hpp
+++ b/src/runtime/program.hpp
@@ -40,8 +40,8 @@
 
 /// Runs a daemon until SIGTERM or SIGINT; a second signal ends it at once. Declares `log.level`, raises the
 /// limit of open files, and returns the exit code: 0, 1 when it can't start or stop, 2 for bad settings,
-/// which are printed. On SIGHUP, and when the settings file has changed, the settings are read again; bad ones
-/// are logged and the daemon goes on with those it has.
+/// which are printed. On SIGHUP, and when the settings file has changed, the settings are read again; bad
+/// ones are logged and the daemon goes on with those it has.
 int run_daemon(int argc, char** argv, const settings::Program& program, settings::Section& section,
                const Start& start);
 
--- a/tests/examples/examples_test.cpp
+++ b/tests/examples/examples_test.cpp
@@ -67,10 +67,10 @@
 }
 
 TEST_F(ExamplesTest, EveryProgramTellsItsUseAndRefusesUnknownFlags) {
-  for (const char* program : {"pipitpond-control", "pipitpond-proxy", "pipitctl", "pipitpond-database",
-                              "pipitpond-platform", "pipitpond-faultproxy", "pipitpond-load",
-                              "pipitpond-fleet", "pipitpond-simulate", "pipitpond-platform-proxy",
-                              "pipitpond-platform-control"}) {
+  for (const char* program :
+       {"pipitpond-control", "pipitpond-proxy", "pipitctl", "pipitpond-database", "pipitpond-platform",
+        "pipitpond-faultproxy", "pipitpond-load", "pipitpond-fleet", "pipitpond-simulate",
+        "pipitpond-platform-proxy", "pipitpond-platform-control"}) {
     EXPECT_EQ(run(bin / program, {"--help"}), 0) << program << ": " << output;
     EXPECT_EQ(run(bin / program, {"--version"}), 0) << program << ": " << output;
     EXPECT_EQ(output.rfind(std::string(program) + " ", 0), 0U) << output;
--- a/tests/pooling/caller_session_test.cpp
+++ b/tests/pooling/caller_session_test.cpp
@@ -24,7 +24,7 @@
   CallerSessionTest()
       : connector_(io_),
         backends_(io_, connector_, agent_, core::DaemonId("d"), core::ZoneName("zone-b")),
-        services_{io_, backends_, routes_, counters_, {}} {
+        services_{io_, backends_, routes_, counters_, times_, {}} {
     connector_.database("a").primary = true;
     agent_.set_configuration(example_configuration());
     apply();
@@ -69,6 +69,7 @@
   Backends backends_;
   Routes routes_;
   PoolingCounters counters_;
+  StatementTimes times_;
   SessionServices services_;
 };
 
--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -58,6 +58,7 @@
       co_await pause_for(io_, database_.work);
     }
     std::vector<StatementReply> replies;
+    replies.reserve(statements.size());
     for (const BackendStatement& statement : statements) {
       replies.push_back(answer(statement));
     }
