Keep a stopping front's share of connections, and take nothing late in its stop

From half of the grace on, sessions are now closed after their answers. - The test for it found another: a stopping daemon told control at once, its share of each database's connections fell to nothing, and statements were refused for want of a connection. It now tells control at the end.

--- a/src/pooling/daemon.cpp
+++ b/src/pooling/daemon.cpp
@@ -192,16 +192,17 @@
   const auto log = logging::logger("pooling");
   stopping_ = true;
   log->info("Drain: {} sessions are open.", listener_->sessions());
-  agent_->set_leaving();
+  // Control learns of it at the end only: a leaving daemon has no share of the databases' connections.
   co_await close_quiet_sessions(begun + kStillAccepting);
   listener_->stop_accepting();
   co_await close_quiet_sessions(begun + options_.stop_grace / kTransactionsShare);
+  listener_->close_after_answers();
   for (CallerSession* session : std::set<CallerSession*>(services_.sessions)) {
     session->end_transaction_for_stop();
   }
   co_await close_quiet_sessions(give_up);
-  listener_->close_idle_sessions(core::Duration::zero());
   log->info("Drain: {} sessions are left.", listener_->sessions());
+  agent_->set_leaving();
   backends_.close();
   co_await agent_->depart(kFarewell / 2);
   stopped();
--- a/src/pooling/listener.hpp
+++ b/src/pooling/listener.hpp
@@ -29,6 +29,9 @@
   /// Closes the sessions of which nothing was asked for `quiet`, and that are in no transaction. Right after
   /// an answer the caller may already be asking for more, so that a close would cut its statement off.
   virtual void close_idle_sessions(core::Duration quiet) = 0;
+  /// From now on each session is closed once its transaction, or the statement that runs, has been answered,
+  /// and idle ones at once: what is asked later could not be finished before the daemon ends.
+  virtual void close_after_answers() = 0;
   /// No more callers.
   virtual void stop_accepting() = 0;
   [[nodiscard]] virtual bool accepting() const = 0;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -212,6 +212,22 @@
   EXPECT_TRUE(platform_stage::values_of(primary().log()).contains("last"));
 }
 
+TEST_F(PlatformTest, ASessionThatNeverRestsIsNotServedToTheEndOfAStop) {
+  // Bench, bmsac-archive incident inc-9f13: a statement taken 5 s after SIGTERM was cut off.
+  auto session = fleet_.caller(0, "writes");
+  const auto begun = std::chrono::steady_clock::now();
+  fleet_.proxy(0).signal(SIGTERM);
+  std::size_t answered = 0;
+  Answer answer;
+  while ((answer = session->query("READ busy")).connected) {
+    ASSERT_TRUE(answer.ok()) << answer.error;
+    ++answered;
+  }
+  EXPECT_GT(answered, 10U);
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, milliseconds(4500));
+  EXPECT_EQ(fleet_.proxy(0).wait(std::chrono::seconds(10)), 0);
+}
+
 TEST_F(PlatformTest, AHangUpCutsNothing) {
   auto session = fleet_.caller(0, "writes");
   fleet_.proxy(0).signal(SIGHUP);
