--- a/tests/runtime/program_test.cpp
+++ b/tests/runtime/program_test.cpp
@@ -1,6 +1,7 @@
 #include "runtime/program.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <boost/asio/post.hpp>
 #include <csignal>
@@ -24,8 +25,10 @@
   bool stops_;
 };
 
-/// Runs a daemon that gets `signals` signals once it runs, and ends the process with the exit code.
-void run_example(std::vector<std::string> arguments, int signals, bool stops) {
+/// Runs a daemon that gets `signals` signals once it runs, and ends the process with the exit code. A death
+/// test looks at standard error, and daemons log on standard output: the one is made the other.
+void run_example(std::vector<std::string> arguments, int signals, bool stops, bool hang_up = false) {
+  ::dup2(STDERR_FILENO, STDOUT_FILENO);
   std::vector<char*> pointers;
   pointers.reserve(arguments.size());
   for (std::string& argument : arguments) {
@@ -38,6 +41,9 @@
     if (name == "broken") {
       return core::fail(core::ErrorKind::kUnavailable, "The port is taken.", "Choose another.");
     }
+    if (hang_up) {
+      boost::asio::post(io, [] { std::raise(SIGHUP); });
+    }
     for (int turn = 0; turn < signals; ++turn) {
       boost::asio::post(io, [] { std::raise(SIGTERM); });
     }
@@ -55,6 +61,11 @@
               "second signal");
 }
 
+TEST(ProgramDeathTest, AHangUpReadsTheSettingsAgainAndEndsNothing) {
+  EXPECT_EXIT(run_example({"example", "--name", "a"}, 1, true, true), ExitedWithCode(kExitDone),
+              "settings were read again");
+}
+
 TEST(ProgramDeathTest, BadSettingsArePrintedAndNothingStarts) {
   EXPECT_EXIT(run_example({"example", "--nam", "a"}, 0, true), ExitedWithCode(kExitBadSettings), "nam");
   EXPECT_EXIT(run_example({"example"}, 0, true), ExitedWithCode(kExitBadSettings), "name: is missing");
