--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -25,9 +25,9 @@
 constexpr core::Duration kBehindMin = std::chrono::milliseconds(20);
 constexpr core::Duration kBehindMax = std::chrono::milliseconds(320);
 
+/// Its answer may wait for a replica's receipt.
 bool writes(const Statement& statement) {
-  return statement.kind == StatementKind::kCommit || statement.kind == StatementKind::kWrite ||
-         (statement.kind == StatementKind::kExecute && statement.writes);
+  return statement.kind == StatementKind::kCommit || may_write(statement);
 }
 
 core::Error closed_error() {
--- a/src/pooling/caller_session.cpp
+++ b/src/pooling/caller_session.cpp
@@ -26,25 +26,6 @@
 /// When a caller may come back after its statement was given up.
 constexpr core::Duration kComeBackAfter = std::chrono::milliseconds(100);
 
-bool may_write(const Statement& statement) {
-  return statement.kind == StatementKind::kWrite ||
-         (statement.kind == StatementKind::kExecute && statement.writes);
-}
-
-bool begins(const Statement& statement) {
-  return statement.kind == StatementKind::kBegin || statement.kind == StatementKind::kBeginReadOnly;
-}
-
-StatementReply done_here(TransactionState state) {
-  StatementReply reply;
-  reply.state = state;
-  return reply;
-}
-
-TraceStep step_at(const BackendChoice& choice, TraceEvent event, std::string detail) {
-  return TraceStep{{}, event, choice.pool->address().database, choice.term, {}, std::move(detail)};
-}
-
 std::string come_back_text(const std::string& reason) {
   return "retry in " + std::to_string(core::to_millis(kComeBackAfter)) + " ms: " + reason;
 }
@@ -64,6 +45,10 @@
       wrote(false),
       rested_since(core::BootClock::now()) {}
 
+TraceStep CallerSession::step_at(const BackendChoice& choice, TraceEvent event, std::string detail) {
+  return TraceStep{{}, event, choice.pool->address().database, choice.term, {}, std::move(detail)};
+}
+
 CallerSession::CallerSession(SessionServices& services, std::string database)
     : services_(services), database_(std::move(database)) {
   services_.sessions.insert(this);
@@ -125,7 +110,7 @@
     statement.writes = known->second.writes;
   }
   if (transaction_) {
-    if (begins(statement)) {
+    if (begins_transaction(statement)) {
       co_return failed_reply(FailureCode::kBad, "a transaction is open", state());
     }
     co_return co_await run_in_transaction(std::move(statement));
@@ -141,24 +126,24 @@
 
 StatementReply CallerSession::set_value(const Statement& statement) {
   session_.values[statement.name] = statement.arguments;
-  return done_here(state());
+  return succeeded_here(state());
 }
 
 StatementReply CallerSession::prepare(const Statement& statement) {
   session_.prepared[statement.name] = PreparedShape{statement.writes, statement.arguments};
-  return done_here(state());
+  return succeeded_here(state());
 }
 
 StatementReply CallerSession::forget(const Statement& statement) {
   session_.prepared.erase(statement.name);
-  return done_here(state());
+  return succeeded_here(state());
 }
 
 /// The end of a failed transaction ends it, and says so; nothing of it is kept. All else is refused.
 StatementReply CallerSession::end_failed_transaction(const Statement& statement) {
   if (statement.kind == StatementKind::kRollback) {
     leave_transaction();
-    return done_here(TransactionState::kIdle);
+    return succeeded_here(TransactionState::kIdle);
   }
   if (statement.kind == StatementKind::kCommit) {
     leave_transaction();
@@ -310,7 +295,7 @@
     search.last_failure = Failure{FailureCode::kBusy, "the primary is not certain"};
     search.trace.add(now, step_at(choice, TraceEvent::kNotCertain, "no lease, or a newer term"));
     search.pause = kNoBackendPause;
-    if (begins(search.statement)) {
+    if (begins_transaction(search.statement)) {
       lease.discard();
     }
     co_return std::nullopt;
@@ -389,10 +374,10 @@
   choice.pool->note_caught_up();
   if (may_write(search.statement)) {
     note_own_position(reply);
-  } else if (!begins(search.statement)) {
+  } else if (!begins_transaction(search.statement)) {
     ++(choice.is_primary ? services_.counters.reads_at_primaries : services_.counters.reads_at_replicas);
   }
-  if (begins(search.statement)) {
+  if (begins_transaction(search.statement)) {
     transaction_.emplace(search.route, choice, std::move(lease));
   }
   return reply;
@@ -404,108 +389,4 @@
   }
 }
 
-// --- Inside a transaction
-// -------------------------------------------------------------------------------------
-
-awaitable<StatementReply> CallerSession::run_in_transaction(Statement statement) {
-  const core::Duration timeout = std::chrono::milliseconds(transaction_->route.timeout_ms);
-  const core::Instant sent = core::BootClock::now();
-  BackendStatement asked{statement, {}};
-  auto ran = co_await transaction_->lease->run(session_, std::move(asked), timeout);
-  if (!ran) {
-    const Transaction& lost_one = *transaction_;
-    const BackendChoice choice = lost_one.choice;
-    const protocol::Route route = lost_one.route;
-    StatementReply lost = on_transaction_lost(statement, ran.error());
-    write_transaction_failure(statement, sent, TransactionPlace{choice, route}, TraceEvent::kLost, lost);
-    co_return lost;
-  }
-  StatementReply reply = std::move(ran.value());
-  if (reply.position) {
-    services_.backends.note_position(transaction_->route.group, transaction_->choice, sent,
-                                     core::BootClock::now(), *reply.position);
-  }
-  if (reply.failure) {
-    const bool not_run = surely_not_run(reply.failure->code);
-    write_transaction_failure(statement, sent, TransactionPlace{transaction_->choice, transaction_->route},
-                              not_run ? TraceEvent::kNotRun : TraceEvent::kFailed, reply);
-  }
-  after_transaction_statement(statement, reply);
-  co_return reply;
-}
-
-void CallerSession::write_transaction_failure(const Statement& statement, core::Instant sent,
-                                              const TransactionPlace& place, TraceEvent event,
-                                              const StatementReply& reply) const {
-  if (!reply.failure) {
-    return;
-  }
-  RequestTrace trace(sent);
-  trace.add(sent, step_at(place.choice, TraceEvent::kSent, "transaction"));
-  const core::Instant now = core::BootClock::now();
-  trace.add(now, step_at(place.choice, event, to_string(reply.failure->code)));
-  const TraceSubject subject{statement.id, place.route.name, place.route.group, services_.routes.version(),
-                             services_.backends.revision()};
-  trace.write(now, subject, reply);
-}
-
-/// The database rolls back when the connection ends, so nothing is kept unless a commit may have arrived.
-StatementReply CallerSession::on_transaction_lost(const Statement& statement, const core::Error& error) {
-  const bool may_be_kept = statement.kind == StatementKind::kCommit && transaction_->wrote &&
-                           error.kind != core::ErrorKind::kConnectionRefused;
-  if (statement.kind == StatementKind::kCommit || statement.kind == StatementKind::kRollback) {
-    leave_transaction();
-    if (statement.kind == StatementKind::kRollback) {
-      return done_here(TransactionState::kIdle);
-    }
-    const FailureCode code = may_be_kept ? FailureCode::kUnsure : FailureCode::kAborted;
-    return failed_reply(code, error.message, TransactionState::kIdle);
-  }
-  transaction_->lease.reset();
-  transaction_->failed = true;
-  return failed_reply(FailureCode::kAborted, error.message, TransactionState::kFailed);
-}
-
-void CallerSession::after_transaction_statement(const Statement& statement, const StatementReply& reply) {
-  if (may_write(statement)) {
-    transaction_->wrote = true;
-  }
-  const bool committed = statement.kind == StatementKind::kCommit && !reply.failure;
-  if (committed && transaction_->wrote) {
-    note_own_position(reply);
-  }
-  const bool read_only_primary = reply.failure && reply.failure->code == FailureCode::kReadOnly;
-  if (read_only_primary && transaction_->choice.is_primary) {
-    transaction_->choice.pool->health().on_refused_write();
-  }
-  if (reply.state == TransactionState::kIdle) {
-    leave_transaction();
-  } else if (reply.state == TransactionState::kFailed) {
-    transaction_->failed = true;
-  }
-}
-
-void CallerSession::leave_transaction() {
-  transaction_.reset();
-}
-
-void CallerSession::end_transaction_when_idle(core::Instant now) {
-  const core::Duration limit = services_.routes.transaction_idle_limit();
-  const bool rests = transaction_ && transaction_->lease && !running_ && limit > core::Duration::zero() &&
-                     now - transaction_->rested_since >= limit;
-  if (!rests) {
-    return;
-  }
-  ++services_.counters.transactions_ended_idle;
-  transaction_->lease.reset();
-  transaction_->failed = true;
-}
-
-void CallerSession::end_transaction_for_stop() {
-  if (transaction_ && !running_) {
-    transaction_->lease.reset();
-    transaction_->failed = true;
-  }
-}
-
 }  // namespace pipitpond::pooling
--- a/src/pooling/caller_session.hpp
+++ b/src/pooling/caller_session.hpp
@@ -86,6 +86,7 @@
     RequestTrace trace{core::Instant{}};
   };
 
+  static TraceStep step_at(const BackendChoice& choice, TraceEvent event, std::string detail);
   boost::asio::awaitable<StatementReply> dispatch(Statement statement);
   StatementReply set_value(const Statement& statement);
   StatementReply prepare(const Statement& statement);
--- /dev/null
+++ b/src/pooling/caller_session_transaction.cpp
@@ -0,0 +1,111 @@
+// Statements of a caller's session inside a transaction, and the transaction's end.
+#include <utility>
+
+#include "pooling/caller_session.hpp"
+
+namespace pipitpond::pooling {
+
+using boost::asio::awaitable;
+
+awaitable<StatementReply> CallerSession::run_in_transaction(Statement statement) {
+  const core::Duration timeout = std::chrono::milliseconds(transaction_->route.timeout_ms);
+  const core::Instant sent = core::BootClock::now();
+  BackendStatement asked{statement, {}};
+  auto ran = co_await transaction_->lease->run(session_, std::move(asked), timeout);
+  if (!ran) {
+    const Transaction& lost_one = *transaction_;
+    const BackendChoice choice = lost_one.choice;
+    const protocol::Route route = lost_one.route;
+    StatementReply lost = on_transaction_lost(statement, ran.error());
+    write_transaction_failure(statement, sent, TransactionPlace{choice, route}, TraceEvent::kLost, lost);
+    co_return lost;
+  }
+  StatementReply reply = std::move(ran.value());
+  if (reply.position) {
+    services_.backends.note_position(transaction_->route.group, transaction_->choice, sent,
+                                     core::BootClock::now(), *reply.position);
+  }
+  if (reply.failure) {
+    const bool not_run = surely_not_run(reply.failure->code);
+    write_transaction_failure(statement, sent, TransactionPlace{transaction_->choice, transaction_->route},
+                              not_run ? TraceEvent::kNotRun : TraceEvent::kFailed, reply);
+  }
+  after_transaction_statement(statement, reply);
+  co_return reply;
+}
+
+void CallerSession::write_transaction_failure(const Statement& statement, core::Instant sent,
+                                              const TransactionPlace& place, TraceEvent event,
+                                              const StatementReply& reply) const {
+  if (!reply.failure) {
+    return;
+  }
+  RequestTrace trace(sent);
+  trace.add(sent, step_at(place.choice, TraceEvent::kSent, "transaction"));
+  const core::Instant now = core::BootClock::now();
+  trace.add(now, step_at(place.choice, event, to_string(reply.failure->code)));
+  const TraceSubject subject{statement.id, place.route.name, place.route.group, services_.routes.version(),
+                             services_.backends.revision()};
+  trace.write(now, subject, reply);
+}
+
+/// The database rolls back when the connection ends, so nothing is kept unless a commit may have arrived.
+StatementReply CallerSession::on_transaction_lost(const Statement& statement, const core::Error& error) {
+  const bool may_be_kept = statement.kind == StatementKind::kCommit && transaction_->wrote &&
+                           error.kind != core::ErrorKind::kConnectionRefused;
+  if (statement.kind == StatementKind::kCommit || statement.kind == StatementKind::kRollback) {
+    leave_transaction();
+    if (statement.kind == StatementKind::kRollback) {
+      return succeeded_here(TransactionState::kIdle);
+    }
+    const FailureCode code = may_be_kept ? FailureCode::kUnsure : FailureCode::kAborted;
+    return failed_reply(code, error.message, TransactionState::kIdle);
+  }
+  transaction_->lease.reset();
+  transaction_->failed = true;
+  return failed_reply(FailureCode::kAborted, error.message, TransactionState::kFailed);
+}
+
+void CallerSession::after_transaction_statement(const Statement& statement, const StatementReply& reply) {
+  if (may_write(statement)) {
+    transaction_->wrote = true;
+  }
+  const bool committed = statement.kind == StatementKind::kCommit && !reply.failure;
+  if (committed && transaction_->wrote) {
+    note_own_position(reply);
+  }
+  const bool read_only_primary = reply.failure && reply.failure->code == FailureCode::kReadOnly;
+  if (read_only_primary && transaction_->choice.is_primary) {
+    transaction_->choice.pool->health().on_refused_write();
+  }
+  if (reply.state == TransactionState::kIdle) {
+    leave_transaction();
+  } else if (reply.state == TransactionState::kFailed) {
+    transaction_->failed = true;
+  }
+}
+
+void CallerSession::leave_transaction() {
+  transaction_.reset();
+}
+
+void CallerSession::end_transaction_when_idle(core::Instant now) {
+  const core::Duration limit = services_.routes.transaction_idle_limit();
+  const bool rests = transaction_ && transaction_->lease && !running_ && limit > core::Duration::zero() &&
+                     now - transaction_->rested_since >= limit;
+  if (!rests) {
+    return;
+  }
+  ++services_.counters.transactions_ended_idle;
+  transaction_->lease.reset();
+  transaction_->failed = true;
+}
+
+void CallerSession::end_transaction_for_stop() {
+  if (transaction_ && !running_) {
+    transaction_->lease.reset();
+    transaction_->failed = true;
+  }
+}
+
+}  // namespace pipitpond::pooling
--- a/src/pooling/statement.cpp
+++ b/src/pooling/statement.cpp
@@ -38,6 +38,21 @@
   return "unknown";
 }
 
+bool may_write(const Statement& statement) {
+  return statement.kind == StatementKind::kWrite ||
+         (statement.kind == StatementKind::kExecute && statement.writes);
+}
+
+bool begins_transaction(const Statement& statement) {
+  return statement.kind == StatementKind::kBegin || statement.kind == StatementKind::kBeginReadOnly;
+}
+
+StatementReply succeeded_here(TransactionState state) {
+  StatementReply reply;
+  reply.state = state;
+  return reply;
+}
+
 StatementReply failed_reply(FailureCode code, std::string text, TransactionState state) {
   StatementReply reply;
   reply.failure = Failure{code, std::move(text)};
--- a/src/pooling/statement.hpp
+++ b/src/pooling/statement.hpp
@@ -79,6 +79,12 @@
   std::optional<core::LogPosition> position;  ///< Of the database's log.
 };
 
+/// True for statements that may change something. Prepared ones: once `writes` is set.
+bool may_write(const Statement& statement);
+/// True for those that open a transaction.
+bool begins_transaction(const Statement& statement);
+/// The reply to a statement that the proxy has carried out itself.
+StatementReply succeeded_here(TransactionState state);
 /// A reply that failed.
 StatementReply failed_reply(FailureCode code, std::string text, TransactionState state);
 
