Share scarce connections by borrowing, and open kept ones ahead of demand

Change: pooling/connection_share: an equal part where it is 3 or more; else each keeps less and borrows from the rest, and returns what is idle for up to 1 s, sooner after a refusal. Kept connections are opened ahead, paced by the slots and the number of daemons.

--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -22,6 +22,11 @@
 constexpr core::Duration kFirstLatency = std::chrono::milliseconds(10);
 /// Weight of the newest latency in the average: one part in so many.
 constexpr int kLatencyWeight = 8;
+/// A borrowed connection stays open for this long after its last use, less where others are refused one.
+constexpr core::Duration kBorrowedIdleMax = std::chrono::milliseconds(1000);
+constexpr core::Duration kBorrowedIdleMin = std::chrono::milliseconds(20);
+/// How much longer it may stay after an opening that was not refused.
+constexpr core::Duration kBorrowedIdleStep = std::chrono::milliseconds(10);
 constexpr core::Duration kBehindMin = std::chrono::milliseconds(20);
 constexpr core::Duration kBehindMax = std::chrono::milliseconds(320);
 
@@ -140,13 +145,15 @@
       connector_(connector),
       address_(std::move(address)),
       zone_(std::move(zone)),
-      usual_latency_(kFirstLatency) {}
+      borrowed_idle_limit_(kBorrowedIdleMax / 2),
+      usual_latency_(kFirstLatency),
+      usual_opening_(kFirstLatency) {}
 
 BackendPool::~BackendPool() = default;
 
-void BackendPool::set_budget(std::uint32_t connections) {
-  budget_ = connections;
-  while (!idle_.empty() && held() > budget_) {
+void BackendPool::set_share(const ConnectionShare& share) {
+  share_ = share;
+  while (!idle_.empty() && held() > share_.most) {
     idle_.pop_front();
   }
   open_when_needed();
@@ -217,13 +224,35 @@
 
 void BackendPool::open_when_needed() {
   const bool resting = core::BootClock::now() < next_open_;
-  while (!closed_ && !resting && opening_ < waiters_.size() && held() < budget_) {
-    ++opening_;
-    boost::asio::co_spawn(io_, open_one(shared_from_this()), boost::asio::detached);
+  while (!closed_ && !resting && opening_ < waiters_.size() && held() < share_.most) {
+    begin_to_open();
+  }
+}
+
+void BackendPool::begin_to_open() {
+  ++opening_;
+  boost::asio::co_spawn(io_, open_one(shared_from_this()), boost::asio::detached);
+}
+
+/// One after the other and slowly: an opening takes a slot of the database from statements.
+void BackendPool::open_ahead(core::Instant now) {
+  const bool wanted = health_.usable() && opening_ == 0 && held() < share_.kept;
+  if (!wanted || now < next_warm_up_ || now < next_open_) {
+    return;
+  }
+  next_warm_up_ = now + share_.warm_up_interval;
+  begin_to_open();
+}
+
+void BackendPool::give_back_borrowed(core::Instant now) {
+  while (!idle_.empty() && held() > share_.kept && now - idle_.front()->idle_since >= borrowed_idle_limit_) {
+    idle_.pop_front();
+    ++counters_.given_back;
   }
 }
 
 awaitable<void> BackendPool::open_one(std::shared_ptr<BackendPool> self) {
+  const core::Instant begun = core::BootClock::now();
   auto link = co_await self->connector_.connect(self->address_, kConnectTimeout);
   --self->opening_;
   const core::Instant now = core::BootClock::now();
@@ -234,6 +263,8 @@
     co_return;
   }
   ++self->counters_.opened;
+  self->usual_opening_ += (now - begun - self->usual_opening_) / kLatencyWeight;
+  self->borrowed_idle_limit_ = std::min(kBorrowedIdleMax, self->borrowed_idle_limit_ + kBorrowedIdleStep);
   self->health_.on_connected(now);
   auto connection = std::make_unique<PooledConnection>();
   connection->link = std::move(link.value());
@@ -242,7 +273,9 @@
 
 void BackendPool::on_open_failed(const core::Error& error) {
   const bool answers = error.kind == core::ErrorKind::kOverloaded;
-  if (!answers) {
+  if (answers) {
+    note_refused_opening();
+  } else {
     health_.on_connect_failed(core::BootClock::now());
   }
   // Those that wait may get a connection that is in use; without one there is nothing to wait for.
@@ -251,13 +284,20 @@
   }
 }
 
+/// All connections of the database are taken. Other daemons meet the same refusals, so that all of them give
+/// idle connections back sooner.
+void BackendPool::note_refused_opening() {
+  borrowed_idle_limit_ = std::max(kBorrowedIdleMin, borrowed_idle_limit_ / 2);
+}
+
 void BackendPool::hand_out(std::unique_ptr<PooledConnection> connection) {
   if (closed_ || !connection->link->is_open()) {
     open_when_needed();
     return;
   }
   if (waiters_.empty()) {
-    if (held() < budget_) {
+    if (held() < share_.most) {
+      connection->idle_since = core::BootClock::now();
       idle_.push_back(std::move(connection));
     }
     return;
@@ -286,7 +326,8 @@
 
 core::Duration BackendPool::expected_wait() const {
   const auto before = static_cast<std::int64_t>(in_use_.size() + waiters_.size());
-  return usual_latency_ + usual_latency_ * before / std::max<std::int64_t>(slots_, 1);
+  const core::Duration opening = idle_.empty() ? usual_opening_ : core::Duration::zero();
+  return opening + usual_latency_ + usual_latency_ * before / std::max<std::int64_t>(slots_, 1);
 }
 
 void BackendPool::note_latency(core::Duration taken) {
@@ -310,6 +351,8 @@
     boost::asio::co_spawn(io_, probe(shared_from_this()), boost::asio::detached);
   }
   open_when_needed();
+  give_back_borrowed(now);
+  open_ahead(now);
 }
 
 /// On a connection of its own: an old one may hang although the database is well.
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -1,5 +1,5 @@
-// The connections to one database: opened on demand within a budget, shared by callers' sessions, handed out
-// by priority and order of arrival. Single-threaded.
+// The connections to one database: opened on demand or slowly ahead of it, within this daemon's share, used
+// by all callers' sessions, handed out by priority and order of arrival. Single-threaded.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -15,6 +15,7 @@
 #include "core/error.hpp"
 #include "pooling/backend.hpp"
 #include "pooling/backend_health.hpp"
+#include "pooling/connection_share.hpp"
 #include "pooling/session_state.hpp"
 
 namespace pipitpond::pooling {
@@ -28,6 +29,7 @@
   ConnectionState state;
   /// A read under way on it may be run elsewhere: it is cut off when the database is found unreachable.
   bool expendable = false;
+  core::Instant idle_since{};
 };
 
 /// The right to use one connection. Gives it back when it is destroyed: open and outside a transaction, or
@@ -74,6 +76,7 @@
 struct PoolCounters {
   std::uint64_t opened = 0;
   std::uint64_t open_failed = 0;
+  std::uint64_t given_back = 0;  ///< Borrowed connections that were closed because they were idle.
   std::uint64_t broke = 0;
   std::uint64_t waited_in_vain = 0;
   std::uint64_t probes = 0;
@@ -88,8 +91,8 @@
   BackendPool(const BackendPool&) = delete;
   BackendPool& operator=(const BackendPool&) = delete;
 
-  /// Connections that may be held; idle ones beyond it are closed.
-  void set_budget(std::uint32_t connections);
+  /// What may be held; idle connections beyond it are closed.
+  void set_share(const ConnectionShare& share);
   /// Statements that the database runs at once.
   void set_slots(std::uint32_t slots) { slots_ = slots; }
   /// The database is gone or this daemon stops: no more connections. Those in use are closed when given back.
@@ -100,7 +103,8 @@
   static boost::asio::awaitable<core::Result<ConnectionLease>> acquire(std::shared_ptr<BackendPool> pool,
                                                                        ConnectionRequest request);
 
-  /// Sends a probe when the database is in doubt, and cuts off reads when it is found unreachable.
+  /// Sends a probe when the database is in doubt, cuts off reads when it is found unreachable, gives borrowed
+  /// connections back and opens some ahead of demand.
   void tick(core::Instant now);
 
   [[nodiscard]] const BackendAddress& address() const { return address_; }
@@ -108,7 +112,7 @@
   [[nodiscard]] BackendHealth& health() { return health_; }
   [[nodiscard]] const BackendHealth& health() const { return health_; }
   [[nodiscard]] bool closed() const { return closed_; }
-  [[nodiscard]] std::uint32_t budget() const { return budget_; }
+  [[nodiscard]] const ConnectionShare& share() const { return share_; }
   /// Connections held, opening ones included.
   [[nodiscard]] std::size_t held() const { return idle_.size() + in_use_.size() + opening_; }
   [[nodiscard]] std::size_t in_use() const { return in_use_.size(); }
@@ -127,6 +131,9 @@
 
   std::unique_ptr<PooledConnection> take_idle(const SessionState* session);
   void open_when_needed();
+  void open_ahead(core::Instant now);
+  void give_back_borrowed(core::Instant now);
+  void begin_to_open();
   static boost::asio::awaitable<void> open_one(std::shared_ptr<BackendPool> self);
   void on_open_failed(const core::Error& error);
   void hand_out(std::unique_ptr<PooledConnection> connection);
@@ -135,21 +142,25 @@
   static boost::asio::awaitable<void> probe(std::shared_ptr<BackendPool> self);
   void cut_off_expendable();
   void note_latency(core::Duration taken);
+  void note_refused_opening();
 
   boost::asio::io_context& io_;
   BackendConnector& connector_;
   BackendAddress address_;
   core::ZoneName zone_;
   BackendHealth health_;
-  std::uint32_t budget_ = 0;
+  ConnectionShare share_;
   std::uint32_t slots_ = 1;
   bool closed_ = false;
   std::size_t opening_ = 0;
   core::Instant next_open_{};
+  core::Instant next_warm_up_{};
+  core::Duration borrowed_idle_limit_;  ///< A borrowed connection that is idle for this long is closed.
   std::deque<std::unique_ptr<PooledConnection>> idle_;  ///< The one used last is at the back.
   std::set<PooledConnection*> in_use_;
   std::list<std::shared_ptr<PoolWaiter>> waiters_;  ///< By priority, then order of arrival.
   core::Duration usual_latency_;
+  core::Duration usual_opening_;
   core::Instant behind_until_{};
   core::Duration behind_for_{};
   PoolCounters counters_;
--- a/src/pooling/backends.cpp
+++ b/src/pooling/backends.cpp
@@ -29,7 +29,7 @@
   for (const auto& [name, group] : configuration.groups) {
     apply_group(group);
   }
-  set_budgets();
+  set_shares();
 }
 
 void Backends::apply_group(const protocol::Group& group) {
@@ -66,15 +66,19 @@
   view.primary = group.terms.empty() ? core::DatabaseId() : group.terms.back().primary;
 }
 
-void Backends::set_budgets() {
+void Backends::set_shares() {
+  const protocol::Configuration& configuration = agent_.configuration();
+  const auto live = [](const auto& entry) { return entry.second.state == protocol::DaemonState::kLive; };
+  const auto daemons = std::count_if(configuration.daemons.begin(), configuration.daemons.end(), live);
+  const auto self = configuration.daemons.find(self_);
+  const bool counts = self != configuration.daemons.end() && live(*self) && !closed_;
   for (auto& [name, view] : groups_) {
     for (auto& [id, member] : view.members) {
-      const std::vector<core::DaemonId>& owners = agent_.owner_table().owners(id);
-      const bool owns = std::find(owners.begin(), owners.end(), self_) != owners.end();
-      const protocol::Database* declared = ownership::find_database(agent_.configuration(), id);
-      const bool counts = owns && declared != nullptr && !closed_;
-      const auto share = counts ? declared->connection_limit / owners.size() : 0;
-      member.pool->set_budget(static_cast<std::uint32_t>(std::max<std::size_t>(share, counts ? 1 : 0)));
+      const protocol::Database* declared = ownership::find_database(configuration, id);
+      const bool shares = counts && declared != nullptr;
+      member.pool->set_share(
+          shares ? share_of({declared->connection_limit, declared->slots}, static_cast<std::size_t>(daemons))
+                 : ConnectionShare{});
     }
   }
 }
@@ -195,7 +199,7 @@
     const BackendPool& pool = *member.pool;
     const bool is_primary = id == view.primary;
     const bool ends = !is_primary && (member.draining || member.departed);
-    const bool serves = !ends && pool.health().usable() && pool.budget() > 0 && !pool.behind(now) &&
+    const bool serves = !ends && pool.health().usable() && pool.share().most > 0 && !pool.behind(now) &&
                         !need.avoided.contains(id);
     if (!serves) {
       continue;
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -86,7 +86,7 @@
   };
 
   void apply_group(const protocol::Group& group);
-  void set_budgets();
+  void set_shares();
   void note_missing_primaries(core::Instant now);
   void report_suspicions(core::Instant now);
   void log_suspicions(const std::map<core::DatabaseId, protocol::Suspicion>& suspicions);
--- /dev/null
+++ b/src/pooling/connection_share.hpp
@@ -0,0 +1,36 @@
+// How many of a database's connections one daemon may hold. All daemons share what the database takes; none
+// asks the others. No input or output.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "core/clock.hpp"
+
+namespace pipitpond::pooling {
+
+/// What a database offers to all daemons together.
+struct DatabaseCapacity {
+  std::uint32_t connections = 0;  ///< That it takes from daemons.
+  std::uint32_t slots = 0;        ///< Statements and openings of connections that it runs at once.
+};
+
+/// One daemon's part of it.
+struct ConnectionShare {
+  std::uint32_t kept = 0;  ///< May stay open while idle.
+  std::uint32_t most = 0;  ///< May be held at once; those beyond `kept` are closed soon after their use.
+  /// Between connections that are opened ahead of demand: the database's slots are for statements.
+  core::Duration warm_up_interval{};
+
+  bool operator==(const ConnectionShare&) const = default;
+};
+
+/// The share of one of `daemons` (at least 1).
+///
+/// Where an equal part is enough for a daemon's statements, it keeps that part. Where it is not, most
+/// daemons must not sit on idle connections: each keeps less than its part and borrows from the rest while
+/// it needs more. The sum may then exceed the database's limit for a moment; the database refuses what is
+/// over it, and the daemon waits.
+ConnectionShare share_of(const DatabaseCapacity& capacity, std::size_t daemons);
+
+}  // namespace pipitpond::pooling
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -45,7 +45,8 @@
   gauge("connections", "Connections held.", number(pool.held()));
   gauge("connections_in_use", "Connections that run a statement or belong to a transaction.",
         number(pool.in_use()));
-  gauge("budget", "Connections that may be held.", number(pool.budget()));
+  gauge("budget", "Connections that may be held.", number(pool.share().most));
+  gauge("kept", "Connections that may stay open while idle.", number(pool.share().kept));
   gauge("waiting", "Statements that wait for a connection.", number(pool.waiting()));
   gauge("usable", "1 while the database is taken to be reachable.", pool.health().usable() ? 1 : 0);
   const auto counter = [&](const std::string& name, const std::string& help, std::uint64_t value) {
--- a/tests/pooling/backend_pool_test.cpp
+++ b/tests/pooling/backend_pool_test.cpp
@@ -15,7 +15,7 @@
   BackendPoolTest() : connector_(io_) {
     const BackendAddress address{{"127.0.0.1", 7001}, core::GroupName("g"), core::DatabaseId("a")};
     pool_ = std::make_shared<BackendPool>(io_, connector_, address, core::ZoneName("z"));
-    pool_->set_budget(2);
+    pool_->set_share(ConnectionShare{2, 2, std::chrono::hours(1)});
   }
 
   static ConnectionRequest request(int wait_millis = 500, std::uint32_t priority = 1) {
@@ -49,6 +49,53 @@
   EXPECT_EQ(connector_.database("a").connections_opened, 2);
 }
 
+TEST_F(BackendPoolTest, ABorrowedConnectionIsGivenBackSoonAfterItsUse) {
+  pool_->set_share(ConnectionShare{0, 2, std::chrono::hours(1)});
+  { const auto lease = acquire(); }
+  ASSERT_EQ(pool_->held(), 1U);
+  pool_->tick(core::BootClock::now());
+  EXPECT_EQ(pool_->held(), 1U) << "the next statement may follow at once";
+  pool_->tick(core::BootClock::now() + std::chrono::seconds(2));
+  EXPECT_EQ(pool_->held(), 0U);
+  EXPECT_EQ(pool_->counters().given_back, 1U);
+}
+
+TEST_F(BackendPoolTest, AKeptConnectionStaysOpen) {
+  { const auto lease = acquire(); }
+  pool_->tick(core::BootClock::now() + std::chrono::seconds(2));
+  EXPECT_EQ(pool_->counters().given_back, 0U);
+  EXPECT_GE(pool_->held(), 1U);
+}
+
+TEST_F(BackendPoolTest, RefusalsShortenTheTimeThatABorrowedConnectionStays) {
+  pool_->set_share(ConnectionShare{0, 2, std::chrono::hours(1)});
+  connector_.database("a").max_connections = 1;
+  { const auto lease = acquire(); }
+  auto only = acquire();
+  for (int refused = 0; refused < 3; ++refused) {
+    pool_->tick(core::BootClock::now());
+    EXPECT_FALSE(acquire(request(60)));
+  }
+  { const ConnectionLease given_back = std::move(only.value()); }
+  pool_->tick(core::BootClock::now() + milliseconds(300));
+  EXPECT_EQ(pool_->held(), 0U);
+}
+
+TEST_F(BackendPoolTest, KeptConnectionsAreOpenedAheadOfDemandOneAfterTheOther) {
+  pool_->set_share(ConnectionShare{2, 2, milliseconds(100)});
+  const core::Instant now = core::BootClock::now();
+  const auto held_after = [this](core::Instant at) {
+    pool_->tick(at);
+    pipitpond::testing::run_until(
+        io_, [] { return false; }, milliseconds(20));
+    return pool_->held();
+  };
+  EXPECT_EQ(held_after(now), 1U);
+  EXPECT_EQ(held_after(now + milliseconds(50)), 1U);
+  EXPECT_EQ(held_after(now + milliseconds(150)), 2U);
+  EXPECT_EQ(held_after(now + milliseconds(300)), 2U);
+}
+
 TEST_F(BackendPoolTest, TheMostUrgentRequestIsServedFirst) {
   auto first = acquire();
   auto second = acquire();
--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -34,6 +34,8 @@
   core::LogPosition position{1, 10};
   bool refuses_connections = false;
   int connections_opened = 0;
+  int max_connections = 100;
+  int open_connections = 0;
   core::Duration work{};                   ///< Of each batch.
   bool silent = false;                     ///< Batches get no answer until their time-out.
   std::vector<FailureCode> next_failures;  ///< Of the next statements of callers.
@@ -45,7 +47,12 @@
 class FakeConnection : public BackendConnection {
  public:
   FakeConnection(boost::asio::io_context& io, FakeDatabase& database, int number)
-      : io_(io), database_(database), number_(number) {}
+      : io_(io), database_(database), number_(number) {
+    ++database_.open_connections;
+  }
+  ~FakeConnection() override { --database_.open_connections; }
+  FakeConnection(const FakeConnection&) = delete;
+  FakeConnection& operator=(const FakeConnection&) = delete;
 
   boost::asio::awaitable<core::Result<std::vector<StatementReply>>> run(
       std::vector<BackendStatement> statements, core::Duration timeout) override {
@@ -152,6 +159,9 @@
     if (found.refuses_connections) {
       co_return core::fail(core::ErrorKind::kConnectionRefused, "Refused.", "Choose another database.");
     }
+    if (found.open_connections >= found.max_connections) {
+      co_return core::fail(core::ErrorKind::kOverloaded, "Too many connections.", "Try again.");
+    }
     co_return std::make_unique<FakeConnection>(io_, found, ++found.connections_opened);
   }
 
