Take positions from acknowledged writes without a lease, and let one read seek them for all

After a start of everything the same stampede met every primary. Change: where a write is acknowledged by a replica's receipt, the acknowledgement itself shows that no change of primary was complete when the write was sent (all databases but one are fenced before a promotion), so its position counts without a lease. Reads that only the primary could serve are not sent without a lease, and only one in 40 ms goes there for want of a position.

--- a/src/pooling/backends.cpp
+++ b/src/pooling/backends.cpp
@@ -63,6 +63,7 @@
     }
   }
   view.term = term;
+  view.acknowledges_by_receipt = group.sync_replicas > 0;
   view.primary = group.terms.empty() ? core::DatabaseId() : group.terms.back().primary;
 }
 
@@ -244,6 +245,33 @@
   }
 }
 
+// A change of primary promotes nothing before it has stopped all databases of
+// the group but one from receiving or leading. A receipt therefore shows that
+// none was promoted when it was given, which was after `sent`. So all that was
+// acknowledged before `sent` is in the log of the one that acknowledged this
+// write.
+void Backends::note_acknowledged_write(const core::GroupName& group, const BackendChoice& choice,
+                                       core::Instant sent, const core::LogPosition& position) {
+  const auto found = groups_.find(group);
+  const bool proves = found != groups_.end() && found->second.acknowledges_by_receipt && choice.is_primary;
+  if (proves) {
+    found->second.positions.note(sent, position);
+  }
+}
+
+bool Backends::take_position_seek(const core::GroupName& group, core::Instant now) {
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) {
+    return true;
+  }
+  std::optional<core::Instant>& last = found->second.last_seek;
+  if (last && now - *last < kSeekInterval) {
+    return false;
+  }
+  last = now;
+  return true;
+}
+
 std::size_t Backends::connections() const {
   std::size_t held = 0;
   for (const auto& pool : pools()) {
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -1,5 +1,6 @@
-// All databases as one proxy daemon sees them: which group has which, who is the primary, how fresh a log
-// must be, and where a statement is best run. Follows the configuration that control sends.
+// All databases as one proxy daemon sees them: which group has which, who is
+// the primary, how fresh a log must be, and where a statement is best run.
+// Follows the configuration that control sends.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -21,7 +22,8 @@
 /// What a statement needs of a database.
 struct BackendNeed {
   bool primary = false;  ///< Writes, and reads that must see every write.
-  /// Reads elsewhere: the log must reach this position. Empty: not known, so that only the primary will do.
+  /// Reads elsewhere: the log must reach this position. Empty: not known, so
+  /// that only the primary will do.
   std::optional<core::LogPosition> after;
   std::set<core::DatabaseId> avoided;  ///< Failed for this statement before.
 };
@@ -49,19 +51,34 @@
   /// The best database for a need; empty when none will do now.
   [[nodiscard]] std::optional<BackendChoice> choose(const core::GroupName& group, const BackendNeed& need,
                                                     core::Instant now) const;
-  /// True when the database that was chosen as a primary surely still is: no newer term is known here, and
-  /// control's lease was valid until `now`.
+  /// True when the database that was chosen as a primary surely still is: no
+  /// newer term is known here, and control's lease was valid until `now`.
   [[nodiscard]] bool surely_primary(const core::GroupName& group, const BackendChoice& choice,
                                     core::Instant now) const;
   /// The position that a log needs for reads that may be `staleness` old.
   [[nodiscard]] std::optional<core::LogPosition> position_for(const core::GroupName& group,
                                                               core::Duration staleness,
                                                               core::Instant now) const;
-  /// A database showed a position in answer to what was sent at `sent`. Counts if it is surely the primary.
+  /// A database showed a position in answer to what was sent at `sent`. Counts
+  /// if it is surely the primary.
   void note_position(const core::GroupName& group, const BackendChoice& choice, core::Instant sent,
                      core::Instant now, const core::LogPosition& position);
-
-  /// How long the group has had no primary that this daemon can use and surely knows; zero while it has one.
+  /// The primary acknowledged a write that was sent at `sent`, and showed a
+  /// position. Counts without a lease too, where writes are acknowledged by a
+  /// replica's receipt.
+  void note_acknowledged_write(const core::GroupName& group, const BackendChoice& choice, core::Instant sent,
+                               const core::LogPosition& position);
+
+  /// True when a read may go to the primary because no position is known that
+  /// it could be served with elsewhere. One read in kSeekInterval is enough:
+  /// its answer gives a position for all others.
+  bool take_position_seek(const core::GroupName& group, core::Instant now);
+  /// False while control's lease is missing: no answer of a primary is certain
+  /// then.
+  [[nodiscard]] bool may_trust_primaries(core::Instant now) const { return agent_.lease_valid(now); }
+
+  /// How long the group has had no primary that this daemon can use and surely
+  /// knows; zero while it has one.
   [[nodiscard]] core::Duration without_primary(const core::GroupName& group, core::Instant now) const;
 
   /// Revision of the configuration in force.
@@ -81,7 +98,9 @@
     std::map<core::DatabaseId, Member> members;
     core::DatabaseId primary;  ///< Empty while it changes.
     core::Term term = 0;
+    bool acknowledges_by_receipt = false;  ///< A write is acknowledged once a replica has received it.
     PrimaryPositions positions;
+    std::optional<core::Instant> last_seek;  ///< When a read last went to the primary for a position.
     std::optional<core::Instant> without_primary_since;
   };
 
@@ -109,7 +128,10 @@
 
 /// How often to call Backends::tick.
 inline constexpr core::Duration kBackendsTick = std::chrono::milliseconds(50);
-/// What the way to another zone counts, in time of waiting: bytes between zones have a price.
+/// Between reads that go to a primary for want of a known position.
+inline constexpr core::Duration kSeekInterval = std::chrono::milliseconds(40);
+/// What the way to another zone counts, in time of waiting: bytes between zones
+/// have a price.
 inline constexpr core::Duration kOtherZoneCost = std::chrono::milliseconds(40);
 /// What a read at the primary counts, which writes need for themselves.
 inline constexpr core::Duration kPrimaryReadCost = std::chrono::milliseconds(10);
--- a/src/pooling/caller_session.cpp
+++ b/src/pooling/caller_session.cpp
@@ -23,6 +23,7 @@
 constexpr core::Duration kUsualPrimaryChange = std::chrono::milliseconds(3000);
 constexpr core::Duration kBusyPause = std::chrono::milliseconds(10);
 constexpr core::Duration kNoBackendPause = std::chrono::milliseconds(15);
+constexpr core::Duration kCertaintyPause = std::chrono::milliseconds(10);
 /// When a caller may come back after its statement was given up.
 constexpr core::Duration kComeBackAfter = std::chrono::milliseconds(100);
 
@@ -242,9 +243,31 @@
   return need;
 }
 
+/// Only the primary can serve a read, or begin a transaction, for which no position is known. Without a lease
+/// its answer would not be certain, and one such read at a time gives the position for all.
+const char* CallerSession::reason_to_wait(const Search& search, const BackendNeed& need, core::Instant now) {
+  if (may_write(search.statement) || need.after) {
+    return nullptr;
+  }
+  if (!services_.backends.may_trust_primaries(now)) {
+    return "the primary is not certain";
+  }
+  if (!need.primary && !services_.backends.take_position_seek(search.route.group, now)) {
+    return "another read asks for the primary's position";
+  }
+  return nullptr;
+}
+
 awaitable<std::optional<StatementReply>> CallerSession::attempt(Search& search) {
   const core::Instant now = core::BootClock::now();
-  auto choice = services_.backends.choose(search.route.group, need_of(search, now), now);
+  const BackendNeed need = need_of(search, now);
+  if (const char* reason = reason_to_wait(search, need, now)) {
+    search.trace.add(now, TraceStep{{}, TraceEvent::kWaits, {}, 0, {}, reason});
+    search.last_failure = Failure{FailureCode::kBusy, reason};
+    search.pause = kCertaintyPause;
+    co_return std::nullopt;
+  }
+  auto choice = services_.backends.choose(search.route.group, need, now);
   if (!choice) {
     search.trace.add(now, TraceStep{{}, TraceEvent::kNoBackend, {}, 0, {}, search.last_failure.text});
     search.avoided.clear();
@@ -285,6 +308,9 @@
   if (reply.position) {
     services_.backends.note_position(search.route.group, choice, sent, now, *reply.position);
   }
+  if (reply.position && !reply.failure && may_write(search.statement)) {
+    services_.backends.note_acknowledged_write(search.route.group, choice, sent, *reply.position);
+  }
   if (reply.failure) {
     if (reply.failure->code == FailureCode::kNoStatement) {
       lease.discard();  // The connection does not know a name that it was given.
--- a/src/pooling/caller_session.hpp
+++ b/src/pooling/caller_session.hpp
@@ -101,6 +101,8 @@
                                  const StatementReply& reply) const;
   std::optional<Search> begin_search(Statement statement) const;
   [[nodiscard]] BackendNeed need_of(const Search& search, core::Instant now) const;
+  /// Why a read must wait before it is sent anywhere; null: it need not.
+  [[nodiscard]] const char* reason_to_wait(const Search& search, const BackendNeed& need, core::Instant now);
   [[nodiscard]] bool surely_fresh(const Search& search, const BackendChoice& choice, const BackendNeed& need,
                                   core::Instant now) const;
   boost::asio::awaitable<std::optional<StatementReply>> attempt(Search& search);
--- a/src/pooling/caller_session_transaction.cpp
+++ b/src/pooling/caller_session_transaction.cpp
@@ -25,6 +25,12 @@
     services_.backends.note_position(transaction_->route.group, transaction_->choice, sent,
                                      core::BootClock::now(), *reply.position);
   }
+  const bool committed_writes =
+      statement.kind == StatementKind::kCommit && !reply.failure && transaction_->wrote;
+  if (reply.position && committed_writes) {
+    services_.backends.note_acknowledged_write(transaction_->route.group, transaction_->choice, sent,
+                                               *reply.position);
+  }
   if (reply.failure) {
     const bool not_run = surely_not_run(reply.failure->code);
     write_transaction_failure(statement, sent, TransactionPlace{transaction_->choice, transaction_->route},
--- a/src/pooling/request_trace.cpp
+++ b/src/pooling/request_trace.cpp
@@ -19,6 +19,8 @@
 
 const char* to_string(TraceEvent event) {
   switch (event) {
+    case TraceEvent::kWaits:
+      return "waits";
     case TraceEvent::kNoBackend:
       return "no_backend";
     case TraceEvent::kNoConnection:
@@ -39,8 +41,9 @@
 
 void RequestTrace::add(core::Instant now, TraceStep step) {
   step.at = now - started_;
-  const bool repeats = !steps_.empty() && steps_.back().event == step.event &&
-                       steps_.back().database == step.database && step.event == TraceEvent::kNoBackend;
+  const bool waits = step.event == TraceEvent::kNoBackend || step.event == TraceEvent::kWaits;
+  const bool repeats =
+      waits && !steps_.empty() && steps_.back().event == step.event && steps_.back().detail == step.detail;
   if (repeats) {
     ++dropped_;
     return;
--- a/src/pooling/request_trace.hpp
+++ b/src/pooling/request_trace.hpp
@@ -16,6 +16,7 @@
 
 /// A decision or what came of one.
 enum class TraceEvent : std::uint8_t {
+  kWaits,         ///< It must not be sent anywhere yet.
   kNoBackend,     ///< No database would do.
   kNoConnection,  ///< One was chosen, but no connection to it was had.
   kSent,          ///< The statement left for a database.
--- a/tests/pooling/caller_session_test.cpp
+++ b/tests/pooling/caller_session_test.cpp
@@ -97,6 +97,32 @@
   EXPECT_EQ(ran("a").size(), 1U);
 }
 
+TEST_F(CallerSessionTest, OneReadAsksThePrimaryForAPositionAndTheOthersWaitForIt) {
+  // Bench, kcbu-counts trouble-1: after a start all reads went to a primary with two slots.
+  connector_.database("a").work = milliseconds(30);
+  std::vector<std::unique_ptr<CallerSession>> sessions;
+  std::vector<std::shared_ptr<pipitpond::testing::Pending<StatementReply>>> pending;
+  for (int number = 0; number < 6; ++number) {
+    sessions.push_back(std::make_unique<CallerSession>(services_, "board"));
+    pending.push_back(pipitpond::testing::start(io_, sessions.back()->run(statement(StatementKind::kRead))));
+  }
+  for (const auto& one : pending) {
+    ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return one->done(); }));
+    EXPECT_FALSE(one->value->failure);
+  }
+  EXPECT_EQ(ran("a").size(), 1U);
+  EXPECT_EQ(ran("b").size(), 5U);
+}
+
+TEST_F(CallerSessionTest, WithoutALeaseNoReadIsSentThatOnlyThePrimaryCouldServe) {
+  agent_.lease = false;
+  for (const char* route : {"writes", "board", "own"}) {
+    CallerSession session(services_, route);
+    EXPECT_EQ(run(session, statement(StatementKind::kRead)).failure->code, FailureCode::kBusy);
+  }
+  EXPECT_TRUE(ran("a").empty());
+}
+
 TEST_F(CallerSessionTest, ABoundedReadRunsAtTheNearestReplicaThatReachesThePosition) {
   connector_.database("a").position = {1, 40};
   learn_position();
@@ -156,6 +182,50 @@
   EXPECT_FALSE(backends_.position_for(core::GroupName("g"), milliseconds(1500), core::BootClock::now()));
 }
 
+TEST_F(CallerSessionTest, WithoutALeaseAnAcknowledgedWriteGivesAPosition) {
+  // Bench, kcbu-counts trouble-1: proxies cut off from control refused bounded reads for 6 s.
+  agent_.lease = false;
+  CallerSession writer(services_, "writes");
+  ASSERT_FALSE(run(writer, statement(StatementKind::kWrite, "thing data")).failure);
+  connector_.database("b").position = connector_.database("a").position;
+  CallerSession session(services_, "board");
+  EXPECT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  ASSERT_EQ(ran("b").size(), 1U);
+  EXPECT_EQ(ran("b")[0].after, connector_.database("a").position);
+}
+
+TEST_F(CallerSessionTest, WithoutALeaseACommitOfWritesGivesAPositionAndOneOfReadsGivesNone) {
+  const auto known_since = [this](core::Instant moment) {
+    const core::Instant now = core::BootClock::now();
+    return backends_.position_for(core::GroupName("g"), now - moment, now);
+  };
+  learn_position();
+  agent_.lease = false;
+  pipitpond::testing::run_until(
+      io_, [] { return false; }, milliseconds(100));
+  const core::Instant begun = core::BootClock::now();
+  CallerSession session(services_, "own");
+  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(session, statement(StatementKind::kCommit, "")).failure);
+  EXPECT_FALSE(known_since(begun));
+  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  EXPECT_FALSE(known_since(begun)) << "nothing is acknowledged before the commit";
+  ASSERT_FALSE(run(session, statement(StatementKind::kCommit, "")).failure);
+  EXPECT_EQ(known_since(begun), connector_.database("a").position);
+}
+
+TEST_F(CallerSessionTest, WithoutALeaseAWriteGivesNoPositionWhereNoReceiptIsAsked) {
+  protocol::Configuration configuration = agent_.configuration();
+  configuration.groups.begin()->second.sync_replicas = 0;
+  agent_.set_configuration(configuration);
+  apply();
+  agent_.lease = false;
+  CallerSession session(services_, "writes");
+  ASSERT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  EXPECT_FALSE(backends_.position_for(core::GroupName("g"), milliseconds(1500), core::BootClock::now()));
+}
+
 TEST_F(CallerSessionTest, AReadThatIsAnsweredAfterItsPrimaryWasReplacedRunsAgain) {
   connector_.database("a").work = milliseconds(60);
   CallerSession session(services_, "writes");
