Pass statements on to owners where a daemon owns no connections

Ruled out: longer pauses between openings (they only move the wait), more connections per daemon (34 for 63 daemons). Change: a database has limit / 3 owners; the others pass statements on over the fleet's internal protocol (pooling/statement_forwarder, forward_service), to a near owner with little to do, and to another one only where the first did not run it. An owner that owes an answer is asked for a sign of life; a silent one is given up: reads go elsewhere, writes are unsure. Transactions are held by the owner under a number of its life, and end with the peer's connection, its word, or rest. A position for a read that may wait at an owner is asked for with that wait in mind. Borrowing remains for when no owner can be reached. Tests: 11 over a real connection.

--- a/src/configuration/registry_plan.cpp
+++ b/src/configuration/registry_plan.cpp
@@ -72,8 +72,8 @@
 
 void set_connection_limit(Database& database, std::uint32_t group_limit) {
   database.connection_limit = proxies_share(group_limit);
-  database.max_owners =
-      std::max<std::uint32_t>(group_limit == 0 ? 0 : 1, database.connection_limit / kConnectionsPerOwner);
+  const std::uint32_t fewest = std::min(database.connection_limit, kFewestOwners);
+  database.max_owners = std::max(fewest, database.connection_limit / kConnectionsPerOwner);
 }
 
 /// The group as the table describes it; nothing when it is so already.
--- a/src/configuration/registry_plan.hpp
+++ b/src/configuration/registry_plan.hpp
@@ -14,8 +14,10 @@
 /// Connections that a self-registered database keeps free for control's own calls: those of the leader and of
 /// one that has just been replaced.
 inline constexpr std::uint32_t kConnectionsForControl = 4;
-/// Connections that each owner of a self-registered database gets at least. Daemons beyond that many own
-/// none.
-inline constexpr std::uint32_t kConnectionsPerOwner = 1;
+/// Connections that each owner of a self-registered database gets at least: fewer would leave its statements
+/// waiting behind one resting transaction. Daemons beyond that many own none, and pass statements to owners.
+inline constexpr std::uint32_t kConnectionsPerOwner = 3;
+/// A database has this many owners even if that leaves each with fewer connections.
+inline constexpr std::uint32_t kFewestOwners = 3;
 
 }  // namespace pipitpond::configuration
--- a/src/pooling/backend_health.cpp
+++ b/src/pooling/backend_health.cpp
@@ -31,7 +31,7 @@
     write_given_up_ = true;
   }
   under_way_.erase(found);
-  doubted_ = doubted_ || connection_broke || last_heard_ + kDoubtAfterSilence < now;
+  doubted_ = doubted_ || connection_broke || last_heard_ + doubt_after_silence_ < now;
 }
 
 void BackendHealth::on_connected(core::Instant now) {
@@ -58,7 +58,7 @@
     return false;
   }
   const core::Instant owing_since = std::max(under_way_.begin()->second.sent, last_heard_);
-  return now - owing_since >= kDoubtAfterSilence;
+  return now - owing_since >= doubt_after_silence_;
 }
 
 bool BackendHealth::take_probe(core::Instant now) {
--- a/src/pooling/backend_health.hpp
+++ b/src/pooling/backend_health.hpp
@@ -14,9 +14,15 @@
 /// Names a batch that is under way.
 using BatchNumber = std::uint64_t;
 
-/// Watches one database.
+/// A database that owes an answer and has said nothing for this long is doubted.
+inline constexpr core::Duration kDoubtAfterSilence = std::chrono::milliseconds(300);
+
+/// Watches one database, or another daemon that stands between it and this one.
 class BackendHealth {
  public:
+  explicit BackendHealth(core::Duration doubt_after_silence = kDoubtAfterSilence)
+      : doubt_after_silence_(doubt_after_silence) {}
+
   /// A batch leaves for the database. `writes`: its answer waits for a replica's receipt.
   BatchNumber on_sent(core::Instant now, bool writes);
   /// Its answer came.
@@ -53,6 +59,7 @@
 
   static constexpr std::uint32_t kFailuresToGiveUp = 2;
 
+  core::Duration doubt_after_silence_;
   BatchNumber last_batch_ = 0;
   std::map<BatchNumber, Batch> under_way_;
   core::Instant last_heard_{};
@@ -65,8 +72,6 @@
   bool write_given_up_ = false;  ///< The last write or commit got no answer, although others did.
 };
 
-/// A database that owes an answer and has said nothing for this long is doubted.
-inline constexpr core::Duration kDoubtAfterSilence = std::chrono::milliseconds(300);
 /// A write that has waited this long, while other answers came, waits for a receipt that is not coming.
 inline constexpr core::Duration kReceiptOverdue = std::chrono::milliseconds(500);
 /// Between probes of a database in doubt.
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -17,6 +17,7 @@
 #include "pooling/backend_health.hpp"
 #include "pooling/connection_share.hpp"
 #include "pooling/session_state.hpp"
+#include "pooling/statement_lease.hpp"
 
 namespace pipitpond::pooling {
 
@@ -32,28 +33,27 @@
   core::Instant idle_since{};
 };
 
-/// The right to use one connection. Gives it back when it is destroyed: open and outside a transaction, or
-/// else closed.
-class ConnectionLease {
+/// A lease on one of this daemon's own connections. Gives it back when it is destroyed: open and outside a
+/// transaction, or else closed.
+class ConnectionLease : public StatementLease {
  public:
   ConnectionLease(std::shared_ptr<BackendPool> pool, std::unique_ptr<PooledConnection> connection);
-  ~ConnectionLease();
+  ~ConnectionLease() override;
   ConnectionLease(ConnectionLease&&) noexcept = default;
   ConnectionLease& operator=(ConnectionLease&&) noexcept;
   ConnectionLease(const ConnectionLease&) = delete;
   ConnectionLease& operator=(const ConnectionLease&) = delete;
 
-  /// Runs one statement of a session: aligns the connection first. The lease must outlive the call. Errors as
-  /// BackendConnection::run; a statement that had to go before it and failed counts as a lost connection.
+  /// A statement that had to go before it and failed counts as a lost connection.
   boost::asio::awaitable<core::Result<StatementReply>> run(const SessionState& session,
                                                            BackendStatement statement,
-                                                           core::Duration timeout);
+                                                           core::Duration timeout) override;
   /// Runs a statement of the proxy itself.
   boost::asio::awaitable<core::Result<StatementReply>> run_own(Statement statement, core::Duration timeout);
 
   [[nodiscard]] const std::shared_ptr<BackendPool>& pool() const { return pool_; }
-  /// The connection is closed, not given back.
-  void discard();
+  void discard() override;
+  [[nodiscard]] core::Duration longest_wait() const override { return core::Duration::zero(); }
 
  private:
   boost::asio::awaitable<core::Result<StatementReply>> run_batch(std::vector<BackendStatement> batch,
@@ -119,6 +119,8 @@
   [[nodiscard]] std::size_t waiting() const { return waiters_.size(); }
   /// What the next request has to expect: time of a usual statement, and of those before it.
   [[nodiscard]] core::Duration expected_wait() const;
+  /// A statement took this long.
+  void note_latency(core::Duration taken);
   /// The database was found to lack a position that reads needed.
   void note_behind(core::Instant now);
   /// It had the position that a read needed.
@@ -141,7 +143,6 @@
   void fail_waiters(const core::Error& error);
   static boost::asio::awaitable<void> probe(std::shared_ptr<BackendPool> self);
   void cut_off_expendable();
-  void note_latency(core::Duration taken);
   void note_refused_opening();
 
   boost::asio::io_context& io_;
--- a/src/pooling/backends.cpp
+++ b/src/pooling/backends.cpp
@@ -7,9 +7,21 @@
 
 namespace pipitpond::pooling {
 
+namespace {
+
+/// Connections that a daemon may open to a database that it does not own, when no owner can be reached.
+constexpr std::uint32_t kConnectionsOfOthers = 1;
+
+}  // namespace
+
 Backends::Backends(boost::asio::io_context& io, BackendConnector& connector, agent::Agent& agent,
                    core::DaemonId self, core::ZoneName zone)
-    : io_(io), connector_(connector), agent_(agent), self_(std::move(self)), zone_(std::move(zone)) {}
+    : io_(io),
+      connector_(connector),
+      agent_(agent),
+      self_(std::move(self)),
+      zone_(std::move(zone)),
+      forwarder_(io, self_, zone_) {}
 
 // --- The configuration
 // -----------------------------------------------------------------------------------------
@@ -30,6 +42,7 @@
     apply_group(group);
   }
   set_shares();
+  forwarder_.apply(configuration);
 }
 
 void Backends::apply_group(const protocol::Group& group) {
@@ -70,22 +83,30 @@
 void Backends::set_shares() {
   const protocol::Configuration& configuration = agent_.configuration();
   const auto live = [](const auto& entry) { return entry.second.state == protocol::DaemonState::kLive; };
-  const auto daemons = std::count_if(configuration.daemons.begin(), configuration.daemons.end(), live);
   const auto self = configuration.daemons.find(self_);
   const bool counts = self != configuration.daemons.end() && live(*self) && !closed_;
   for (auto& [name, view] : groups_) {
     for (auto& [id, member] : view.members) {
       const protocol::Database* declared = ownership::find_database(configuration, id);
-      const bool shares = counts && declared != nullptr;
-      member.pool->set_share(
-          shares ? share_of({declared->connection_limit, declared->slots}, static_cast<std::size_t>(daemons))
-                 : ConnectionShare{});
+      const std::vector<core::DaemonId>& owners = agent_.owner_table().owners(id);
+      ConnectionShare share;
+      if (counts && declared != nullptr && owns(owners)) {
+        share = share_of({declared->connection_limit, declared->slots}, owners.size());
+      } else if (counts && declared != nullptr) {
+        share.most = kConnectionsOfOthers;
+      }
+      member.pool->set_share(share);
     }
   }
 }
 
+bool Backends::owns(const std::vector<core::DaemonId>& owners) const {
+  return std::find(owners.begin(), owners.end(), self_) != owners.end();
+}
+
 void Backends::close() {
   closed_ = true;
+  forwarder_.close();
   for (auto& [name, view] : groups_) {
     for (auto& [id, member] : view.members) {
       member.pool->close();
@@ -104,6 +125,7 @@
       }
     }
   }
+  forwarder_.tick(now);
   note_missing_primaries(now);
   report_suspicions(now);
 }
@@ -222,6 +244,20 @@
   return pool.expected_wait() + (pool.zone() == zone_ ? core::Duration::zero() : kOtherZoneCost);
 }
 
+boost::asio::awaitable<core::Result<std::unique_ptr<StatementLease>>> Backends::acquire(
+    BackendChoice choice, ConnectionRequest request) {
+  const std::vector<core::DaemonId>& owners = agent_.owner_table().owners(choice.pool->address().database);
+  if (!owns(owners) && forwarder_.reaches(owners, core::BootClock::now())) {
+    co_return forwarder_.lease(choice.pool, owners, request);
+  }
+  auto lease = co_await BackendPool::acquire(choice.pool, request);
+  if (!lease) {
+    co_return lease.error();
+  }
+  std::unique_ptr<StatementLease> own = std::make_unique<ConnectionLease>(std::move(lease.value()));
+  co_return own;
+}
+
 // --- Primaries and freshness
 // -----------------------------------------------------------------------------------
 
@@ -272,6 +308,16 @@
   return true;
 }
 
+std::shared_ptr<BackendPool> Backends::pool(const core::DatabaseId& database) const {
+  for (const auto& [name, view] : groups_) {
+    const auto found = view.members.find(database);
+    if (found != view.members.end()) {
+      return found->second.pool;
+    }
+  }
+  return nullptr;
+}
+
 std::size_t Backends::connections() const {
   std::size_t held = 0;
   for (const auto& pool : pools()) {
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -15,6 +15,8 @@
 #include "core/clock.hpp"
 #include "pooling/backend_pool.hpp"
 #include "pooling/freshness.hpp"
+#include "pooling/statement_forwarder.hpp"
+#include "pooling/statement_lease.hpp"
 #include "protocol/configuration.hpp"
 
 namespace pipitpond::pooling {
@@ -51,6 +53,10 @@
   /// The best database for a need; empty when none will do now.
   [[nodiscard]] std::optional<BackendChoice> choose(const core::GroupName& group, const BackendNeed& need,
                                                     core::Instant now) const;
+  /// A connection to the chosen database: one of this daemon's own, or where it owns none, one at an owner.
+  /// Errors as BackendPool::acquire.
+  boost::asio::awaitable<core::Result<std::unique_ptr<StatementLease>>> acquire(BackendChoice choice,
+                                                                                ConnectionRequest request);
   /// True when the database that was chosen as a primary surely still is: no
   /// newer term is known here, and control's lease was valid until `now`.
   [[nodiscard]] bool surely_primary(const core::GroupName& group, const BackendChoice& choice,
@@ -84,6 +90,9 @@
   /// Revision of the configuration in force.
   [[nodiscard]] protocol::Revision revision() const { return agent_.configuration().revision; }
   [[nodiscard]] std::size_t connections() const;
+  /// The pool of a database, or null.
+  [[nodiscard]] std::shared_ptr<BackendPool> pool(const core::DatabaseId& database) const;
+  [[nodiscard]] const ForwardCounters& forwards() const { return forwarder_.counters(); }
   /// Pools by database, for metrics.
   [[nodiscard]] std::vector<std::shared_ptr<BackendPool>> pools() const;
 
@@ -106,6 +115,7 @@
 
   void apply_group(const protocol::Group& group);
   void set_shares();
+  [[nodiscard]] bool owns(const std::vector<core::DaemonId>& owners) const;
   void note_missing_primaries(core::Instant now);
   void report_suspicions(core::Instant now);
   void log_suspicions(const std::map<core::DatabaseId, protocol::Suspicion>& suspicions);
@@ -121,6 +131,7 @@
   agent::Agent& agent_;
   core::DaemonId self_;
   core::ZoneName zone_;
+  StatementForwarder forwarder_;
   std::map<core::GroupName, GroupView> groups_;
   std::map<core::DatabaseId, protocol::Suspicion> suspicions_;  ///< As last told.
   bool closed_ = false;
--- a/src/pooling/caller_session.cpp
+++ b/src/pooling/caller_session.cpp
@@ -38,7 +38,7 @@
 }  // namespace
 
 CallerSession::Transaction::Transaction(protocol::Route its_route, BackendChoice its_choice,
-                                        ConnectionLease its_lease)
+                                        std::unique_ptr<StatementLease> its_lease)
     : route(std::move(its_route)),
       lease(std::move(its_lease)),
       choice(std::move(its_choice)),
@@ -275,7 +275,7 @@
     co_return std::nullopt;
   }
   const ConnectionRequest request{search.route.priority, search.stop_waiting, &session_};
-  auto lease = co_await BackendPool::acquire(choice->pool, request);
+  auto lease = co_await services_.backends.acquire(*choice, request);
   if (!lease) {
     search.last_failure = Failure{FailureCode::kBusy, lease.error().message};
     search.trace.add(core::BootClock::now(),
@@ -288,10 +288,11 @@
 }
 
 awaitable<std::optional<StatementReply>> CallerSession::attempt_at(Search& search, BackendChoice choice,
-                                                                   ConnectionLease lease) {
+                                                                   std::unique_ptr<StatementLease> lease) {
   const core::Instant sent = core::BootClock::now();
-  // The wait for the connection may have been long: what was fresh enough then may not be any more.
-  const BackendNeed need = need_of(search, sent);
+  // The wait for the connection may have been long, and may go on: what was fresh enough when the database
+  // was chosen may not be any more when the statement runs.
+  const BackendNeed need = need_of(search, sent + lease->longest_wait());
   BackendStatement statement{search.statement, {}};
   if (!may_write(search.statement)) {
     statement.after = need.after;
@@ -299,7 +300,7 @@
   TraceStep sending = step_at(choice, TraceEvent::kSent, choice.is_primary ? "primary" : "replica");
   sending.after = statement.after;
   search.trace.add(sent, std::move(sending));
-  auto ran = co_await lease.run(session_, std::move(statement), time_left(search.deadline, sent));
+  auto ran = co_await lease->run(session_, std::move(statement), time_left(search.deadline, sent));
   const core::Instant now = core::BootClock::now();
   if (!ran) {
     co_return on_lost(search, choice, ran.error());
@@ -313,7 +314,7 @@
   }
   if (reply.failure) {
     if (reply.failure->code == FailureCode::kNoStatement) {
-      lease.discard();  // The connection does not know a name that it was given.
+      lease->discard();  // The connection does not know a name that it was given.
     }
     co_return on_failure(search, choice, std::move(reply));
   }
@@ -322,7 +323,7 @@
     search.trace.add(now, step_at(choice, TraceEvent::kNotCertain, "no lease, or a newer term"));
     search.pause = kNoBackendPause;
     if (begins_transaction(search.statement)) {
-      lease.discard();
+      lease->discard();
     }
     co_return std::nullopt;
   }
@@ -395,8 +396,8 @@
   return reply;
 }
 
-StatementReply CallerSession::accept(const Search& search, const BackendChoice& choice, ConnectionLease lease,
-                                     StatementReply reply) {
+StatementReply CallerSession::accept(const Search& search, const BackendChoice& choice,
+                                     std::unique_ptr<StatementLease> lease, StatementReply reply) {
   choice.pool->note_caught_up();
   if (may_write(search.statement)) {
     note_own_position(reply);
--- a/src/pooling/caller_session.hpp
+++ b/src/pooling/caller_session.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -55,10 +56,11 @@
  private:
   /// A transaction and the connection that it keeps.
   struct Transaction {
-    Transaction(protocol::Route its_route, BackendChoice its_choice, ConnectionLease its_lease);
+    Transaction(protocol::Route its_route, BackendChoice its_choice,
+                std::unique_ptr<StatementLease> its_lease);
 
     protocol::Route route;
-    std::optional<ConnectionLease> lease;  ///< Empty once the connection is lost.
+    std::unique_ptr<StatementLease> lease;  ///< Null once the connection is lost.
     BackendChoice choice;
     bool failed;
     bool wrote;
@@ -107,12 +109,12 @@
                                   core::Instant now) const;
   boost::asio::awaitable<std::optional<StatementReply>> attempt(Search& search);
   boost::asio::awaitable<std::optional<StatementReply>> attempt_at(Search& search, BackendChoice choice,
-                                                                   ConnectionLease lease);
+                                                                   std::unique_ptr<StatementLease> lease);
   std::optional<StatementReply> on_lost(Search& search, const BackendChoice& choice,
                                         const core::Error& error);
   std::optional<StatementReply> on_failure(Search& search, const BackendChoice& choice, StatementReply reply);
-  StatementReply accept(const Search& search, const BackendChoice& choice, ConnectionLease lease,
-                        StatementReply reply);
+  StatementReply accept(const Search& search, const BackendChoice& choice,
+                        std::unique_ptr<StatementLease> lease, StatementReply reply);
   StatementReply give_up(const Search& search) const;
 
   boost::asio::awaitable<StatementReply> run_in_transaction(Statement statement);
--- a/src/pooling/connection_share.hpp
+++ b/src/pooling/connection_share.hpp
@@ -25,7 +25,7 @@
   bool operator==(const ConnectionShare&) const = default;
 };
 
-/// The share of one of `daemons` (at least 1).
+/// The share of one of the `daemons` that own connections (at least 1).
 ///
 /// Where an equal part is enough for a daemon's statements, it keeps that part. Where it is not, most
 /// daemons must not sit on idle connections: each keeps less than its part and borrows from the rest while
--- a/src/pooling/daemon.cpp
+++ b/src/pooling/daemon.cpp
@@ -54,7 +54,8 @@
       adapters_(std::move(adapters)),
       agent_(std::move(agent)),
       backends_(io, *adapters_.connector, *agent_, options_.id, options_.zone),
-      services_{io, backends_, routes_, counters_, times_, {}} {}
+      services_{io, backends_, routes_, counters_, times_, {}},
+      forwards_(backends_) {}
 
 Daemon::~Daemon() = default;
 
@@ -77,12 +78,30 @@
     return server.error();
   }
   admin_ = std::move(server.value());
+  const auto internal = open_internal_port();
+  if (!internal) {
+    return internal.error();
+  }
   agent_->on_change([this](const protocol::Configuration& configuration) { apply(configuration); });
   agent_->start();
   boost::asio::co_spawn(io_, tick(), boost::asio::detached);
   return core::outcome::success();
 }
 
+core::Result<void> Daemon::open_internal_port() {
+  auto peers = wire::Server::start(
+      io_, options_.internal.address, options_.internal.port,
+      [this](wire::PeerId peer, wire::MessageType type, std::string body) {
+        return forwards_.handle(peer, type, std::move(body));
+      },
+      [this](wire::PeerId peer) { forwards_.peer_closed(peer); });
+  if (!peers) {
+    return peers.error();
+  }
+  peers_ = std::move(peers.value());
+  return core::outcome::success();
+}
+
 void Daemon::apply(const protocol::Configuration& configuration) {
   if (configuration.routes.version != routes_.version()) {
     logging::logger("pooling")->info("event=routes_in_force version={} revision={}",
@@ -108,6 +127,7 @@
     for (CallerSession* session : sessions) {
       session->end_transaction_when_idle(now);
     }
+    forwards_.end_idle_transactions(now, routes_.transaction_idle_limit());
     log_readiness();
     co_await pause_for(io_, kBackendsTick);
   }
@@ -192,11 +212,13 @@
   const auto log = logging::logger("pooling");
   stopping_ = true;
   log->info("Drain: {} sessions are open.", listener_->sessions());
+  forwards_.refuse_new();
   // Control learns of it at the end only: a leaving daemon has no share of the databases' connections.
   co_await close_quiet_sessions(begun + kStillAccepting);
   listener_->stop_accepting();
   co_await close_quiet_sessions(begun + options_.stop_grace / kTransactionsShare);
   listener_->close_after_answers();
+  forwards_.end_transactions();
   for (CallerSession* session : std::set<CallerSession*>(services_.sessions)) {
     session->end_transaction_for_stop();
   }
@@ -212,7 +234,7 @@
 awaitable<void> Daemon::close_quiet_sessions(core::Instant until) {
   while (core::BootClock::now() < until) {
     listener_->close_idle_sessions(kQuietBeforeClose);
-    const bool done = services_.sessions.empty() && !listener_->accepting();
+    const bool done = services_.sessions.empty() && !listener_->accepting() && forwards_.in_progress() == 0;
     if (done) {
       co_return;
     }
--- a/src/pooling/daemon.hpp
+++ b/src/pooling/daemon.hpp
@@ -12,9 +12,11 @@
 #include "http/server.hpp"
 #include "pooling/backends.hpp"
 #include "pooling/caller_session.hpp"
+#include "pooling/forward_service.hpp"
 #include "pooling/listener.hpp"
 #include "pooling/options.hpp"
 #include "runtime/program.hpp"
+#include "wire/server.hpp"
 
 namespace pipitpond::pooling {
 
@@ -45,6 +47,7 @@
          std::unique_ptr<agent::Agent> agent);
 
   core::Result<void> open_ports();
+  core::Result<void> open_internal_port();
   void apply(const protocol::Configuration& configuration);
   boost::asio::awaitable<void> tick();
   boost::asio::awaitable<void> drain(std::function<void()> stopped);
@@ -64,7 +67,9 @@
   PoolingCounters counters_;
   StatementTimes times_;
   SessionServices services_;
+  ForwardService forwards_;
   std::unique_ptr<CallerListener> listener_;
+  std::unique_ptr<wire::Server> peers_;  ///< For daemons that pass statements on to this one.
   std::unique_ptr<http::Server> admin_;
   core::Instant lease_lost_since_{};
   bool had_lease_ = false;
--- /dev/null
+++ b/src/pooling/forward_messages.hpp
@@ -0,0 +1,49 @@
+// Messages by which a daemon has statements run on the connections of another one. Packed with msgpack.
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+
+#include "core/ids.hpp"
+#include "core/log_position.hpp"
+#include "pooling/session_state.hpp"
+#include "pooling/statement.hpp"
+
+namespace pipitpond::pooling {
+
+/// Names a transaction that an owner holds open for another daemon. Drawn at random from a large range at
+/// the owner's start, so that one of an earlier life names none of this life.
+using ForwardedTransaction = std::uint64_t;
+
+/// A statement to run. Answered with a ForwardedAnswer, or an error that says as StatementLease::run whether
+/// it may have been run.
+struct ForwardedStatement {
+  core::DatabaseId database;
+  ForwardedTransaction transaction = 0;  ///< 0: any connection will do.
+  SessionState session;                  ///< Its values, and of its prepared shapes the one that is executed.
+  Statement statement;
+  std::optional<core::LogPosition> after;  ///< See BackendStatement.
+  std::uint32_t priority = 0;              ///< 0 goes first.
+  std::uint32_t wait_ms = 0;               ///< For a connection.
+  std::uint32_t timeout_ms = 0;            ///< For everything.
+
+  MSGPACK_DEFINE(database, transaction, session, statement, after, priority, wait_ms, timeout_ms);
+};
+
+/// What came of it.
+struct ForwardedAnswer {
+  StatementReply reply;
+  ForwardedTransaction transaction = 0;  ///< The one that is open now; 0: none.
+
+  MSGPACK_DEFINE(reply, transaction);
+};
+
+/// The transaction is given up: its connection is to be closed.
+struct ForwardedEnd {
+  ForwardedTransaction transaction = 0;
+
+  MSGPACK_DEFINE(transaction);
+};
+
+}  // namespace pipitpond::pooling
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -58,6 +58,19 @@
   counter("probes_total", "Probes sent in doubt.", pool.counters().probes);
 }
 
+void add_forwards(metrics::Registry& registry, const ForwardCounters& counters) {
+  const auto counter = [&registry](const std::string& outcome, std::uint64_t count) {
+    registry
+        .counter("pipitpond_pooling_forwards_total",
+                 "Statements passed on to owners of connections, and of these, those that came to nothing.",
+                 {{"outcome", outcome}})
+        .increment(number(count));
+  };
+  counter("sent", counters.sent);
+  counter("not_run", counters.not_run);
+  counter("lost", counters.lost);
+}
+
 }  // namespace
 
 std::string metrics_page(const PoolingCounters& counters, const Backends& backends, const agent::Agent& agent,
@@ -67,6 +80,7 @@
   for (const auto& pool : backends.pools()) {
     add_pool(registry, *pool);
   }
+  add_forwards(registry, backends.forwards());
   const auto gauge = [&registry](const std::string& name, const std::string& help, double value) {
     registry.gauge("pipitpond_pooling_" + name, help).set(value);
   };
--- a/src/pooling/session_state.hpp
+++ b/src/pooling/session_state.hpp
@@ -21,12 +21,16 @@
   std::string shape;
 
   auto operator<=>(const PreparedShape&) const = default;
+
+  MSGPACK_DEFINE(writes, shape);
 };
 
 /// A caller's session.
 struct SessionState {
   SessionValues values;
   std::map<std::string, PreparedShape> prepared;  ///< By the caller's names.
+
+  MSGPACK_DEFINE(values, prepared);
 };
 
 /// What a database connection has been told.
--- a/src/pooling/statement.hpp
+++ b/src/pooling/statement.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <msgpack.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -34,6 +35,8 @@
   std::string name;       ///< kSetValue: of the value. kPrepare, kExecute, kForget: the prepared name.
   std::string arguments;  ///< The rest of the text, unchanged. kPrepare: the shape.
   bool writes = false;    ///< kPrepare, and kExecute once its name is known: it may write.
+
+  MSGPACK_DEFINE(id, kind, name, arguments, writes);
 };
 
 /// Why a statement failed.
@@ -61,6 +64,8 @@
 struct Failure {
   FailureCode code = FailureCode::kFailed;
   std::string text;
+
+  MSGPACK_DEFINE(code, text);
 };
 
 /// Where a session or connection stands after a statement.
@@ -77,6 +82,8 @@
   std::string signature;  ///< The database's proof that it ran the statement; empty for answers of the proxy.
   TransactionState state = TransactionState::kIdle;
   std::optional<core::LogPosition> position;  ///< Of the database's log.
+
+  MSGPACK_DEFINE(failure, rows, signature, state, position);
 };
 
 /// True for statements that may change something. Prepared ones: once `writes` is set.
@@ -92,3 +99,7 @@
 bool surely_not_run(FailureCode code);
 
 }  // namespace pipitpond::pooling
+
+MSGPACK_ADD_ENUM(pipitpond::pooling::StatementKind);
+MSGPACK_ADD_ENUM(pipitpond::pooling::FailureCode);
+MSGPACK_ADD_ENUM(pipitpond::pooling::TransactionState);
--- /dev/null
+++ b/src/pooling/statement_forwarder.cpp
@@ -0,0 +1,269 @@
+#include "pooling/statement_forwarder.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+#include "logging/logging.hpp"
+#include "pooling/forward_messages.hpp"
+#include "wire/codec.hpp"
+
+namespace pipitpond::pooling {
+
+using boost::asio::awaitable;
+
+namespace {
+
+/// An owner that takes no new work is left alone for this long.
+constexpr core::Duration kAvoidLeaving = std::chrono::milliseconds(1000);
+
+std::uint32_t millis(core::Duration duration) {
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(core::to_millis(duration), 0));
+}
+
+core::Error not_run(const std::string& why) {
+  return core::Error{core::ErrorKind::kConnectionRefused, why, "Choose another database, or try again.", 100};
+}
+
+/// Only these kinds say that the statement was not run.
+bool may_have_run(const core::Error& error) {
+  return error.kind != core::ErrorKind::kConnectionRefused && error.kind != core::ErrorKind::kUnavailable &&
+         error.kind != core::ErrorKind::kLeaving;
+}
+
+/// The part of a session's state that the statement needs.
+SessionState state_for(const SessionState& session, const Statement& statement) {
+  SessionState needed;
+  needed.values = session.values;
+  const auto shape = session.prepared.find(statement.name);
+  if (statement.kind == StatementKind::kExecute && shape != session.prepared.end()) {
+    needed.prepared.insert(*shape);
+  }
+  return needed;
+}
+
+}  // namespace
+
+/// A connection at an owner, chosen when the first statement is sent.
+class ForwardedLease : public StatementLease {
+ public:
+  ForwardedLease(StatementForwarder& forwarder, std::shared_ptr<BackendPool> pool,
+                 std::vector<core::DaemonId> owners, const ConnectionRequest& request)
+      : forwarder_(forwarder), pool_(std::move(pool)), owners_(std::move(owners)), request_(request) {}
+  ~ForwardedLease() override { discard(); }
+  ForwardedLease(const ForwardedLease&) = delete;
+  ForwardedLease& operator=(const ForwardedLease&) = delete;
+
+  awaitable<core::Result<StatementReply>> run(const SessionState& session, BackendStatement statement,
+                                              core::Duration timeout) override {
+    ForwardedStatement message;
+    message.database = pool_->address().database;
+    message.session = state_for(session, statement.statement);
+    message.statement = std::move(statement.statement);
+    message.after = statement.after;
+    message.priority = request_.priority;
+    const core::Instant give_up = core::BootClock::now() + timeout;
+    if (transaction_ != 0) {
+      co_return co_await run_in_transaction(std::move(message), give_up);
+    }
+    co_return co_await offer_to_owners(std::move(message), give_up);
+  }
+
+  void discard() override {
+    if (transaction_ != 0) {
+      link_->channel->notify(wire::MessageType::kTransactionEnd, wire::pack(ForwardedEnd{transaction_}));
+      transaction_ = 0;
+    }
+  }
+
+  [[nodiscard]] core::Duration longest_wait() const override {
+    return transaction_ != 0 ? core::Duration::zero()
+                             : kFirstOwnersWait * (kOwnersTried - 1) + kLastOwnersWait;
+  }
+
+ private:
+  /// Only owners that did not run the statement are followed by another one.
+  awaitable<core::Result<StatementReply>> offer_to_owners(ForwardedStatement message, core::Instant give_up) {
+    std::vector<core::DaemonId> tried;
+    core::Error last = not_run("No daemon that owns connections to the database can be reached.");
+    while (std::ssize(tried) < kOwnersTried) {
+      const core::Instant now = core::BootClock::now();
+      link_ = forwarder_.choose(owners_, tried, pool_->zone(), now);
+      if (!link_ || now >= give_up) {
+        break;
+      }
+      tried.push_back(link_->daemon);
+      const bool last_one = std::ssize(tried) == kOwnersTried || tried.size() == owners_.size();
+      message.wait_ms = millis(last_one ? kLastOwnersWait : kFirstOwnersWait);
+      auto answer = co_await ask(message, give_up);
+      if (answer || may_have_run(answer.error())) {
+        co_return answer;
+      }
+      last = answer.error();
+    }
+    co_return not_run(last.message);
+  }
+
+  awaitable<core::Result<StatementReply>> run_in_transaction(ForwardedStatement message,
+                                                             core::Instant give_up) {
+    message.transaction = transaction_;
+    auto answer = co_await ask(message, give_up);
+    if (!answer && !may_have_run(answer.error())) {
+      co_return not_run(answer.error().message);
+    }
+    co_return answer;
+  }
+
+  awaitable<core::Result<StatementReply>> ask(const ForwardedStatement& asked, core::Instant give_up) {
+    const std::shared_ptr<OwnerLink> link = link_;
+    const core::Instant sent = core::BootClock::now();
+    ForwardedStatement message = asked;
+    message.timeout_ms = millis(give_up - sent);
+    ++forwarder_.counters_.sent;
+    ++link->outstanding;
+    const BatchNumber number = link->health.on_sent(sent, false);
+    std::string body = wire::pack(message);
+    const auto reply = co_await link->channel->call(wire::MessageType::kStatement, std::move(body),
+                                                    std::max(give_up - sent, core::Duration::zero()));
+    --link->outstanding;
+    const core::Instant now = core::BootClock::now();
+    note(*link, number, reply, now);
+    if (!reply) {
+      co_return reply.error();
+    }
+    auto answer = wire::unpack<ForwardedAnswer>(reply.value());
+    if (!answer) {
+      co_return core::fail(core::ErrorKind::kConnectionLost, answer.error().message, answer.error().remedy);
+    }
+    pool_->note_latency(now - sent);
+    transaction_ = answer.value().transaction;
+    co_return std::move(answer.value().reply);
+  }
+
+  /// Answers of any kind show that the owner lives; what it says of the database is not held against it.
+  void note(OwnerLink& link, BatchNumber number, const core::Result<std::string>& reply, core::Instant now) {
+    if (reply) {
+      link.health.on_answered(now, number);
+      return;
+    }
+    const core::ErrorKind kind = reply.error().kind;
+    if (kind == core::ErrorKind::kLeaving) {
+      link.avoided_until = now + kAvoidLeaving;
+    }
+    const bool unreached = kind == core::ErrorKind::kConnectionLost || kind == core::ErrorKind::kTimeout ||
+                           kind == core::ErrorKind::kConnectionRefused;
+    if (unreached) {
+      link.health.on_abandoned(now, number, kind != core::ErrorKind::kTimeout);
+    } else {
+      link.health.on_answered(now, number);
+    }
+    ++(may_have_run(reply.error()) ? forwarder_.counters_.lost : forwarder_.counters_.not_run);
+  }
+
+  StatementForwarder& forwarder_;
+  std::shared_ptr<BackendPool> pool_;
+  std::vector<core::DaemonId> owners_;
+  ConnectionRequest request_;
+  std::shared_ptr<OwnerLink> link_;  ///< That has the transaction, or was asked last.
+  ForwardedTransaction transaction_ = 0;
+};
+
+StatementForwarder::StatementForwarder(boost::asio::io_context& io, core::DaemonId self, core::ZoneName zone)
+    : io_(io), self_(std::move(self)), zone_(std::move(zone)) {}
+
+void StatementForwarder::apply(const protocol::Configuration& configuration) {
+  std::erase_if(links_, [&configuration](const auto& entry) {
+    const auto found = configuration.daemons.find(entry.first);
+    return found == configuration.daemons.end() || found->second.internal != entry.second->endpoint ||
+           found->second.incarnation != entry.second->incarnation;
+  });
+  for (const auto& [id, daemon] : configuration.daemons) {
+    if (id == self_ || links_.contains(id)) {
+      continue;
+    }
+    auto link = std::make_shared<OwnerLink>();
+    link->daemon = id;
+    link->endpoint = daemon.internal;
+    link->zone = daemon.zone;
+    link->incarnation = daemon.incarnation;
+    renew_channel(*link);
+    links_.emplace(id, std::move(link));
+  }
+}
+
+void StatementForwarder::renew_channel(OwnerLink& link) {
+  link.channel = wire::Channel::create(io_, link.endpoint);
+}
+
+bool StatementForwarder::usable(const OwnerLink& link, core::Instant now) const {
+  return link.health.usable() && now >= link.avoided_until;
+}
+
+bool StatementForwarder::reaches(const std::vector<core::DaemonId>& owners, core::Instant now) const {
+  return std::any_of(owners.begin(), owners.end(), [&](const core::DaemonId& owner) {
+    const auto found = links_.find(owner);
+    return found != links_.end() && usable(*found->second, now);
+  });
+}
+
+std::unique_ptr<StatementLease> StatementForwarder::lease(const std::shared_ptr<BackendPool>& pool,
+                                                          std::vector<core::DaemonId> owners,
+                                                          const ConnectionRequest& request) {
+  return std::make_unique<ForwardedLease>(*this, pool, std::move(owners), request);
+}
+
+StatementForwarder::LinkPointer StatementForwarder::choose(const std::vector<core::DaemonId>& owners,
+                                                           const std::vector<core::DaemonId>& tried,
+                                                           const core::ZoneName& database_zone,
+                                                           core::Instant now) const {
+  // The way to the database crosses zones once at most by an owner in either end's zone.
+  const auto distance = [&](const OwnerLink& link) {
+    const bool near = link.zone == zone_;
+    const bool at_the_database = link.zone == database_zone;
+    return near ? 0 : (at_the_database ? 1 : 2);
+  };
+  LinkPointer best;
+  for (const core::DaemonId& owner : owners) {
+    const auto found = links_.find(owner);
+    const bool offered = std::find(tried.begin(), tried.end(), owner) != tried.end();
+    if (found == links_.end() || offered || !usable(*found->second, now)) {
+      continue;
+    }
+    const LinkPointer& link = found->second;
+    const bool better = !best || std::make_tuple(distance(*link), link->outstanding) <
+                                     std::make_tuple(distance(*best), best->outstanding);
+    if (better) {
+      best = link;
+    }
+  }
+  return best;
+}
+
+void StatementForwarder::tick(core::Instant now) {
+  for (const auto& [id, link] : links_) {
+    if (link->health.take_probe(now)) {
+      ++counters_.probes;
+      boost::asio::co_spawn(io_, probe(link), boost::asio::detached);
+    }
+  }
+}
+
+awaitable<void> StatementForwarder::probe(LinkPointer link) {
+  const bool was_usable = link->health.usable();
+  const auto answer =
+      co_await link->channel->call(wire::MessageType::kPeerProbe, std::string(), kDoubtProbeTimeout);
+  const bool refused = !answer && answer.error().kind != core::ErrorKind::kTimeout;
+  link->health.on_probe(core::BootClock::now(), answer.has_value(), refused);
+  if (was_usable && !link->health.usable()) {
+    logging::logger("forward")->warn("event=suspect daemon={} suspicion=unreachable given_up={}",
+                                     link->daemon.value(), link->outstanding);
+    renew_channel(*link);  // Ends what waits for it.
+  } else if (!was_usable && link->health.usable()) {
+    logging::logger("forward")->info("event=trust daemon={}", link->daemon.value());
+  }
+}
+
+}  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/statement_forwarder.hpp
@@ -0,0 +1,92 @@
+// Has statements run by other daemons that own connections to a database, where this one owns none. Judges
+// owners by their answers, and asks for a sign of life when one is overdue. Single-threaded.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "core/endpoint.hpp"
+#include "core/ids.hpp"
+#include "pooling/backend_health.hpp"
+#include "pooling/backend_pool.hpp"
+#include "pooling/statement_lease.hpp"
+#include "protocol/configuration.hpp"
+#include "wire/channel.hpp"
+
+namespace pipitpond::pooling {
+
+/// An owner that owes an answer and has said nothing for this long is asked for a sign of life. It may be
+/// waiting for its database, but it answers a probe at once.
+inline constexpr core::Duration kDoubtOwnerAfterSilence = std::chrono::milliseconds(200);
+
+/// Another daemon, as one that may run statements for this one.
+struct OwnerLink {
+  core::DaemonId daemon;
+  core::Endpoint endpoint;
+  core::ZoneName zone;
+  std::uint64_t incarnation = 0;
+  std::unique_ptr<wire::Channel> channel;
+  BackendHealth health{kDoubtOwnerAfterSilence};
+  std::uint32_t outstanding = 0;  ///< Statements that it has.
+  core::Instant avoided_until{};  ///< It said that it takes no new work.
+};
+
+/// Which statements are passed on, and what came of it.
+struct ForwardCounters {
+  std::uint64_t sent = 0;
+  std::uint64_t not_run = 0;  ///< Owners that said so, or could not be reached.
+  std::uint64_t lost = 0;     ///< Without an answer.
+  std::uint64_t probes = 0;
+};
+
+/// Passes statements on.
+class StatementForwarder {
+ public:
+  StatementForwarder(boost::asio::io_context& io, core::DaemonId self, core::ZoneName zone);
+
+  /// Follows the daemons that the configuration names.
+  void apply(const protocol::Configuration& configuration);
+  /// Call every kBackendsTick: probes owners in doubt, and gives up what a silent one has.
+  void tick(core::Instant now);
+  /// No further statements are passed on.
+  void close() { links_.clear(); }
+
+  /// True when one of the owners can be asked.
+  [[nodiscard]] bool reaches(const std::vector<core::DaemonId>& owners, core::Instant now) const;
+  /// A lease on a connection of one of the owners. Nothing is sent before its first statement.
+  std::unique_ptr<StatementLease> lease(const std::shared_ptr<BackendPool>& pool,
+                                        std::vector<core::DaemonId> owners, const ConnectionRequest& request);
+
+  [[nodiscard]] const ForwardCounters& counters() const { return counters_; }
+
+ private:
+  friend class ForwardedLease;
+  using LinkPointer = std::shared_ptr<OwnerLink>;
+
+  [[nodiscard]] bool usable(const OwnerLink& link, core::Instant now) const;
+  /// The best of the owners that were not tried: a near one with little to do. Null: none is left.
+  [[nodiscard]] LinkPointer choose(const std::vector<core::DaemonId>& owners,
+                                   const std::vector<core::DaemonId>& tried,
+                                   const core::ZoneName& database_zone, core::Instant now) const;
+  boost::asio::awaitable<void> probe(LinkPointer link);
+  void renew_channel(OwnerLink& link);
+
+  boost::asio::io_context& io_;
+  core::DaemonId self_;
+  core::ZoneName zone_;
+  std::map<core::DaemonId, LinkPointer> links_;
+  ForwardCounters counters_;
+};
+
+/// Longest wait for a connection at an owner while others may have one free, and at the last that is tried.
+inline constexpr core::Duration kFirstOwnersWait = std::chrono::milliseconds(30);
+inline constexpr core::Duration kLastOwnersWait = std::chrono::milliseconds(120);
+/// Owners that one statement is offered to.
+inline constexpr int kOwnersTried = 3;
+
+}  // namespace pipitpond::pooling
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -13,6 +13,9 @@
   kForward = 5,         ///< protocol::ForwardRequest -> protocol::ForwardReply, daemon to owner daemon.
   kControlForward = 6,  ///< protocol::OperatorRequest -> protocol::OperatorReply, control to leader.
   kDeparture = 7,       ///< protocol::Departure -> protocol::Acknowledgement, a daemon's planned stop.
+  kStatement = 8,       ///< pooling::ForwardedStatement -> pooling::ForwardedAnswer, daemon to owner daemon.
+  kTransactionEnd = 9,  ///< pooling::ForwardedEnd, one-way, daemon to owner daemon.
+  kPeerProbe = 10,      ///< Empty, both ways: a sign of life, daemon to owner daemon.
 };
 
 }  // namespace pipitpond::wire
--- /dev/null
+++ b/tests/pooling/statement_forward_test.cpp
@@ -0,0 +1,258 @@
+// A daemon without connections of its own and an owner, over a real connection between the two.
+#include <gtest/gtest.h>
+
+#include "pooling/caller_session.hpp"
+#include "pooling/fake_backends.hpp"
+#include "pooling/forward_service.hpp"
+#include "support/coroutine.hpp"
+#include "wire/codec.hpp"
+#include "wire/server.hpp"
+
+namespace pipitpond::pooling {
+namespace {
+
+using std::chrono::milliseconds;
+
+Statement statement(StatementKind kind, const std::string& arguments = "thing") {
+  static int number = 0;
+  Statement made;
+  made.id = core::RequestId("f" + std::to_string(++number));
+  made.kind = kind;
+  made.arguments = arguments;
+  return made;
+}
+
+/// One daemon's parts.
+struct DaemonParts {
+  DaemonParts(boost::asio::io_context& io, const std::string& name, const std::string& zone)
+      : connector(io),
+        backends(io, connector, agent, core::DaemonId(name), core::ZoneName(zone)),
+        services{io, backends, routes, counters, times, {}} {}
+
+  void apply(const protocol::Configuration& configuration) {
+    agent.set_configuration(configuration);
+    routes.apply(configuration.routes);
+    backends.apply(configuration);
+  }
+
+  FakeConnector connector;
+  FakeAgent agent;
+  Backends backends;
+  Routes routes;
+  PoolingCounters counters;
+  StatementTimes times;
+  SessionServices services;
+};
+
+class StatementForwardTest : public ::testing::Test {
+ protected:
+  StatementForwardTest()
+      : owner_(io_, "owner", "zone-owner"), asking_(io_, "asking", "zone-asking"), service_(owner_.backends) {
+    auto server = wire::Server::start(
+        io_, "127.0.0.1", 0,
+        [this](wire::PeerId peer, wire::MessageType type, std::string body) {
+          return handle(peer, type, std::move(body));
+        },
+        [this](wire::PeerId peer) { service_.peer_closed(peer); });
+    server_ = std::move(server.value());
+    owner_.connector.database("a").primary = true;
+    configuration_ = configuration();
+    owner_.apply(configuration_);
+    asking_.apply(configuration_);
+  }
+
+  /// Only "owner", which is in the databases' zone, owns connections.
+  [[nodiscard]] protocol::Configuration configuration() const {
+    protocol::Configuration configuration = example_configuration();
+    configuration.daemons.clear();
+    for (protocol::Route& route : configuration.routes.routes) {
+      route.timeout_ms = 1500;
+    }
+    for (protocol::Database& database : configuration.groups.begin()->second.databases) {
+      database.zone = core::ZoneName("zone-owner");
+      database.max_owners = 1;
+    }
+    for (const char* name : {"owner", "asking"}) {
+      protocol::Daemon daemon;
+      daemon.id = core::DaemonId(name);
+      daemon.zone = core::ZoneName(std::string("zone-") + name);
+      daemon.internal = {"127.0.0.1", server_->port()};
+      configuration.daemons[daemon.id] = daemon;
+    }
+    return configuration;
+  }
+
+  boost::asio::awaitable<core::Result<std::string>> handle(wire::PeerId peer, wire::MessageType type,
+                                                           std::string body) {
+    if (frozen_) {
+      co_await pause_for(io_, std::chrono::seconds(2));
+    }
+    co_return co_await service_.handle(peer, type, std::move(body));
+  }
+
+  StatementReply run(CallerSession& session, Statement asked) {
+    return pipitpond::testing::run(io_, session.run(std::move(asked)));
+  }
+
+  void pause(milliseconds duration) {
+    pipitpond::testing::run_until(
+        io_, [] { return false; }, duration);
+  }
+
+  std::vector<RanStatement>& ran() { return owner_.connector.database("a").ran; }
+  int own_connections() { return asking_.connector.database("a").connections_opened; }
+
+  boost::asio::io_context io_;
+  DaemonParts owner_;
+  DaemonParts asking_;
+  ForwardService service_;
+  protocol::Configuration configuration_;
+  bool frozen_ = false;
+  std::unique_ptr<wire::Server> server_;
+};
+
+TEST_F(StatementForwardTest, AStatementRunsOnAnOwnersConnection) {
+  CallerSession session(asking_.services, "writes");
+  const StatementReply reply = run(session, statement(StatementKind::kWrite, "thing data"));
+  EXPECT_FALSE(reply.failure);
+  EXPECT_EQ(reply.signature, "signed");
+  EXPECT_EQ(reply.position, owner_.connector.database("a").position);
+  EXPECT_EQ(ran().size(), 1U);
+  EXPECT_EQ(own_connections(), 0);
+  EXPECT_EQ(service_.in_progress(), 0U);
+}
+
+TEST_F(StatementForwardTest, ATransactionKeepsOneConnectionOfTheOwner) {
+  CallerSession session(asking_.services, "writes");
+  CallerSession other(asking_.services, "writes");
+  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(other, statement(StatementKind::kRead)).failure);
+  ASSERT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  EXPECT_EQ(service_.in_progress(), 1U);
+  ASSERT_FALSE(run(session, statement(StatementKind::kCommit, "")).failure);
+  ASSERT_EQ(ran().size(), 4U);
+  EXPECT_EQ(ran()[0].connection, ran()[2].connection);
+  EXPECT_EQ(ran()[0].connection, ran()[3].connection);
+  EXPECT_NE(ran()[0].connection, ran()[1].connection);
+  EXPECT_EQ(service_.in_progress(), 0U);
+}
+
+TEST_F(StatementForwardTest, SessionValuesAndPreparedShapesGoAlong) {
+  CallerSession session(asking_.services, "writes");
+  Statement set = statement(StatementKind::kSetValue, "north");
+  set.name = "zone";
+  ASSERT_FALSE(run(session, set).failure);
+  Statement prepare = statement(StatementKind::kPrepare, "shape");
+  prepare.name = "s1";
+  ASSERT_FALSE(run(session, prepare).failure);
+  Statement executed = statement(StatementKind::kExecute);
+  executed.name = "s1";
+  ASSERT_FALSE(run(session, executed).failure);
+  EXPECT_EQ(ran().back().kind, StatementKind::kExecute);
+  EXPECT_EQ(ran().back().values, (std::map<std::string, std::string>{{"zone", "north"}}));
+  CallerSession other(asking_.services, "writes");
+  ASSERT_FALSE(run(other, statement(StatementKind::kRead)).failure);
+  EXPECT_TRUE(ran().back().values.empty());
+}
+
+TEST_F(StatementForwardTest, AWriteWhoseAnswerIsLostBehindTheOwnerIsUnsureAndNeverRepeated) {
+  owner_.connector.database("a").break_after_running = true;
+  CallerSession session(asking_.services, "writes");
+  const StatementReply reply = run(session, statement(StatementKind::kWrite, "thing data"));
+  ASSERT_TRUE(reply.failure);
+  EXPECT_EQ(reply.failure->code, FailureCode::kUnsure);
+  EXPECT_EQ(ran().size(), 1U);
+}
+
+TEST_F(StatementForwardTest, AWriteThatASilentOwnerHoldsIsUnsureAndRunsOnceAtMost) {
+  CallerSession session(asking_.services, "writes");
+  ASSERT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  frozen_ = true;
+  const core::Instant begun = core::BootClock::now();
+  const auto pending =
+      pipitpond::testing::start(io_, session.run(statement(StatementKind::kWrite, "thing data")));
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] {
+    asking_.backends.tick(core::BootClock::now());
+    return pending->done();
+  }));
+  ASSERT_TRUE(pending->value->failure);
+  EXPECT_EQ(pending->value->failure->code, FailureCode::kUnsure);
+  EXPECT_LT(core::BootClock::now() - begun, milliseconds(800));
+  frozen_ = false;
+  pause(milliseconds(2200));
+  EXPECT_LE(ran().size(), 2U);
+}
+
+TEST_F(StatementForwardTest, AReadThatASilentOwnerHoldsIsServedOtherwise) {
+  asking_.connector.database("a").primary = true;
+  CallerSession session(asking_.services, "writes");
+  ASSERT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  frozen_ = true;
+  const auto pending = pipitpond::testing::start(io_, session.run(statement(StatementKind::kRead)));
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] {
+    asking_.backends.tick(core::BootClock::now());
+    return pending->done();
+  }));
+  EXPECT_FALSE(pending->value->failure);
+  EXPECT_EQ(own_connections(), 1);
+}
+
+TEST_F(StatementForwardTest, AnOwnerThatStopsRunsNothingNewAndIsPassedOver) {
+  asking_.connector.database("a").primary = true;
+  service_.refuse_new();
+  CallerSession session(asking_.services, "writes");
+  EXPECT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  EXPECT_TRUE(ran().empty());
+  EXPECT_EQ(own_connections(), 1);
+}
+
+TEST_F(StatementForwardTest, ATransactionThatIsGivenUpIsEndedAtTheOwner) {
+  {
+    CallerSession session(asking_.services, "writes");
+    ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+    ASSERT_EQ(service_.in_progress(), 1U);
+  }
+  EXPECT_TRUE(pipitpond::testing::run_until(io_, [&] { return service_.in_progress() == 0; }));
+  CallerSession next(asking_.services, "writes");
+  ASSERT_FALSE(run(next, statement(StatementKind::kRead)).failure);
+  EXPECT_EQ(ran().back().connection, 2) << "the connection of the open transaction was closed";
+}
+
+TEST_F(StatementForwardTest, ATransactionWhoseDaemonIsLostIsEnded) {
+  CallerSession session(asking_.services, "writes");
+  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+  service_.end_idle_transactions(core::BootClock::now() + milliseconds(300), milliseconds(200));
+  EXPECT_EQ(service_.in_progress(), 1U) << "its own daemon ends it first";
+  service_.end_idle_transactions(core::BootClock::now() + milliseconds(800), milliseconds(200));
+  EXPECT_EQ(service_.in_progress(), 0U);
+  const StatementReply reply = run(session, statement(StatementKind::kCommit, ""));
+  ASSERT_TRUE(reply.failure);
+  EXPECT_EQ(reply.failure->code, FailureCode::kAborted);
+}
+
+TEST_F(StatementForwardTest, ATransactionIsKnownOnlyToTheConnectionThatBeganIt) {
+  CallerSession session(asking_.services, "writes");
+  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+  ForwardedStatement forged;
+  forged.database = core::DatabaseId("a");
+  forged.statement = statement(StatementKind::kWrite, "thing data");
+  forged.timeout_ms = 100;
+  for (ForwardedTransaction guess = 1; guess < 50; ++guess) {
+    forged.transaction = guess;
+    const auto answer =
+        pipitpond::testing::run(io_, service_.handle(77, wire::MessageType::kStatement, wire::pack(forged)));
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().kind, core::ErrorKind::kUnavailable);
+  }
+  EXPECT_EQ(ran().size(), 1U);
+}
+
+TEST_F(StatementForwardTest, AMalformedStatementIsRefused) {
+  const auto answer =
+      pipitpond::testing::run(io_, service_.handle(1, wire::MessageType::kStatement, "\x93nonsense"));
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().kind, core::ErrorKind::kInvalidArgument);
+}
+
+}  // namespace
+}  // namespace pipitpond::pooling
