Limit what runs at a database at once by how long it takes

Change: pooling/concurrency_limit: additive increase, multiplicative decrease by the time of answers against an unhindered one, and by refusals; transactions that have begun are not counted. A connection handed to a waiter counts as in use at once (it was counted nowhere until the waiter ran).

--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -48,6 +48,7 @@
 
   std::uint32_t priority = 0;
   core::Instant goal;
+  const SessionState* session = nullptr;
   boost::asio::steady_timer timer;
   std::unique_ptr<PooledConnection> connection;
   std::optional<core::Error> error;
@@ -78,7 +79,22 @@
 
 void ConnectionLease::give_back() {
   if (connection_) {
-    pool_->take_back(std::move(connection_), !in_transaction_);
+    const bool reusable = !in_transaction_;
+    set_in_transaction(false);
+    pool_->take_back(std::move(connection_), reusable);
+  }
+}
+
+void ConnectionLease::set_in_transaction(bool in_transaction) {
+  if (in_transaction == in_transaction_) {
+    return;
+  }
+  in_transaction_ = in_transaction;
+  if (in_transaction) {
+    ++pool_->transactions_;
+    pool_->serve_waiters();
+  } else {
+    --pool_->transactions_;
   }
 }
 
@@ -133,7 +149,13 @@
     }
   }
   StatementReply reply = std::move(replies.value().back());
-  in_transaction_ = reply.state != TransactionState::kIdle;
+  const bool refused = reply.failure && reply.failure->code == FailureCode::kBusy;
+  if (refused) {
+    pool_->concurrency_.on_refused(now);
+  } else {
+    pool_->concurrency_.on_answered(now, now - sent);
+  }
+  set_in_transaction(reply.state != TransactionState::kIdle);
   co_return reply;
 }
 
@@ -154,6 +176,7 @@
 
 void BackendPool::set_share(const ConnectionShare& share) {
   share_ = share;
+  concurrency_.set_most(share.most);
   while (!idle_.empty() && held() > share_.most) {
     idle_.pop_front();
   }
@@ -171,7 +194,7 @@
   if (pool->closed_) {
     co_return closed_error();
   }
-  if (pool->waiters_.empty()) {
+  if (pool->waiters_.empty() && pool->may_run_another()) {
     if (auto idle = pool->take_idle(request.session)) {
       co_return ConnectionLease(pool, std::move(idle));
     }
@@ -183,6 +206,7 @@
   const auto waiter = std::make_shared<PoolWaiter>(pool->io_);
   waiter->priority = request.priority;
   waiter->goal = request.goal;
+  waiter->session = request.session;
   const auto place = std::find_if(
       pool->waiters_.begin(), pool->waiters_.end(),
       [&](const std::shared_ptr<PoolWaiter>& other) { return other->priority > request.priority; });
@@ -226,7 +250,7 @@
 
 void BackendPool::open_when_needed() {
   const bool resting = core::BootClock::now() < next_open_;
-  while (!closed_ && !resting && opening_ < waiters_.size() && held() < share_.most) {
+  while (!closed_ && !resting && opening_ < waiters_.size() && held() < share_.most && may_run_another()) {
     begin_to_open();
   }
 }
@@ -310,16 +334,33 @@
     open_when_needed();
     return;
   }
-  if (waiters_.empty()) {
-    if (held() < share_.most) {
-      connection->idle_since = core::BootClock::now();
-      idle_.push_back(std::move(connection));
+  if (held() < share_.most) {
+    connection->idle_since = core::BootClock::now();
+    idle_.push_back(std::move(connection));
+  }
+  serve_waiters();
+}
+
+/// Transactions are not counted: their statements follow on what the database has done for them already.
+bool BackendPool::may_run_another() const {
+  return in_use_.size() - transactions_ + opening_ < concurrency_.limit();
+}
+
+void BackendPool::serve_waiters() {
+  while (!waiters_.empty() && in_use_.size() - transactions_ < concurrency_.limit()) {
+    if (idle_.empty()) {
+      break;
     }
-    return;
+    const std::shared_ptr<PoolWaiter> waiter = take_next_waiter();
+    waiter->connection = take_idle(waiter->session);
+    if (!waiter->connection) {
+      waiters_.push_front(waiter);
+      break;
+    }
+    in_use_.insert(waiter->connection.get());
+    waiter->timer.cancel();
   }
-  const std::shared_ptr<PoolWaiter> waiter = take_next_waiter();
-  waiter->connection = std::move(connection);
-  waiter->timer.cancel();
+  open_when_needed();
 }
 
 void BackendPool::take_back(std::unique_ptr<PooledConnection> connection, bool reusable) {
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -15,6 +15,7 @@
 #include "core/error.hpp"
 #include "pooling/backend.hpp"
 #include "pooling/backend_health.hpp"
+#include "pooling/concurrency_limit.hpp"
 #include "pooling/connection_share.hpp"
 #include "pooling/session_state.hpp"
 #include "pooling/statement_lease.hpp"
@@ -59,6 +60,7 @@
   boost::asio::awaitable<core::Result<StatementReply>> run_batch(std::vector<BackendStatement> batch,
                                                                  core::Duration timeout);
   void give_back();
+  void set_in_transaction(bool in_transaction);
 
   std::shared_ptr<BackendPool> pool_;
   std::unique_ptr<PooledConnection> connection_;
@@ -97,6 +99,8 @@
   void set_share(const ConnectionShare& share);
   /// Statements that the database runs at once.
   void set_slots(std::uint32_t slots) { slots_ = slots; }
+  /// Statements outside transactions that may run at once: see ConcurrencyLimit.
+  [[nodiscard]] const ConcurrencyLimit& concurrency() const { return concurrency_; }
   /// The database is gone or this daemon stops: no more connections. Those in use are closed when given back.
   void close();
 
@@ -141,6 +145,8 @@
   static boost::asio::awaitable<void> open_one(std::shared_ptr<BackendPool> self);
   void on_open_failed(const core::Error& error);
   std::shared_ptr<PoolWaiter> take_next_waiter();
+  [[nodiscard]] bool may_run_another() const;
+  void serve_waiters();
   void hand_out(std::unique_ptr<PooledConnection> connection);
   void take_back(std::unique_ptr<PooledConnection> connection, bool reusable);
   void fail_waiters(const core::Error& error);
@@ -155,6 +161,8 @@
   BackendHealth health_;
   ConnectionShare share_;
   std::uint32_t slots_ = 1;
+  ConcurrencyLimit concurrency_;
+  std::size_t transactions_ = 0;  ///< Connections in use that are in one.
   bool closed_ = false;
   std::size_t opening_ = 0;
   core::Instant next_open_{};
--- a/src/pooling/caller_session.hpp
+++ b/src/pooling/caller_session.hpp
@@ -78,9 +78,9 @@
     protocol::Route route;
     Statement statement;
     core::Instant started;
-    core::Instant deadline;      ///< Of the statement's run.
+    core::Instant deadline;                     ///< Of the statement's run.
     core::Instant goal = core::Instant::max();  ///< After it, the answer is late.
-    core::Instant stop_waiting;  ///< Without a database until then, it is given up.
+    core::Instant stop_waiting;                 ///< Without a database until then, it is given up.
     bool needs_primary = false;
     std::set<core::DatabaseId> avoided;
     std::uint32_t failed_reads = 0;
--- /dev/null
+++ b/src/pooling/concurrency_limit.hpp
@@ -0,0 +1,37 @@
+// How many statements one daemon lets a database run at once, found from how long they take. A database that
+// is offered more than it can do answers everything late; what waits here instead can be put in order and be
+// given up. No input or output.
+#pragma once
+
+#include <cstdint>
+
+#include "core/clock.hpp"
+
+namespace pipitpond::pooling {
+
+/// The limit of one daemon for one database: additive increase, multiplicative decrease.
+class ConcurrencyLimit {
+ public:
+  /// The limit is never above this, nor below 1.
+  void set_most(std::uint32_t most);
+  /// A statement was answered after `taken`.
+  void on_answered(core::Instant now, core::Duration taken);
+  /// The database had no room for a statement.
+  void on_refused(core::Instant now);
+
+  [[nodiscard]] std::uint32_t limit() const;
+  /// Time of a usual statement by the newest answers, and when nothing is in its way.
+  [[nodiscard]] core::Duration recent() const { return recent_; }
+  [[nodiscard]] core::Duration unhindered() const { return unhindered_; }
+
+ private:
+  void decrease(core::Instant now);
+
+  double limit_ = 1;
+  double most_ = 1;
+  core::Duration recent_ = std::chrono::milliseconds(10);
+  core::Duration unhindered_ = std::chrono::milliseconds(10);
+  core::Instant next_decrease_{};
+};
+
+}  // namespace pipitpond::pooling
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -46,6 +46,8 @@
   gauge("connections_in_use", "Connections that run a statement or belong to a transaction.",
         number(pool.in_use()));
   gauge("budget", "Connections that may be held.", number(pool.share().most));
+  gauge("concurrency_limit", "Statements outside transactions that may run at once.",
+        number(pool.concurrency().limit()));
   gauge("kept", "Connections that may stay open while idle.", number(pool.share().kept));
   gauge("waiting", "Statements that wait for a connection.", number(pool.waiting()));
   gauge("usable", "1 while the database is taken to be reachable.", pool.health().usable() ? 1 : 0);
--- /dev/null
+++ b/tests/pooling/concurrency_limit_test.cpp
@@ -0,0 +1,74 @@
+#include "pooling/concurrency_limit.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace pipitpond::pooling {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Answers that come one after the other, each after the given time.
+core::Instant answer(ConcurrencyLimit& limit, core::Instant now, int count, milliseconds taken) {
+  for (int number = 0; number < count; ++number) {
+    now += taken;
+    limit.on_answered(now, taken);
+  }
+  return now;
+}
+
+TEST(ConcurrencyLimitTest, BeginsAtTheMost) {
+  ConcurrencyLimit limit;
+  limit.set_most(5);
+  EXPECT_EQ(limit.limit(), 5U);
+}
+
+TEST(ConcurrencyLimitTest, FallsWhileAnswersAreHinderedAndComesBackAfterwards) {
+  ConcurrencyLimit limit;
+  limit.set_most(5);
+  core::Instant now = answer(limit, core::Instant{}, 100, milliseconds(10));
+  EXPECT_EQ(limit.limit(), 5U);
+  now = answer(limit, now, 60, milliseconds(150));
+  EXPECT_EQ(limit.limit(), 1U);
+  now = answer(limit, now, 100, milliseconds(10));
+  EXPECT_EQ(limit.limit(), 5U);
+}
+
+TEST(ConcurrencyLimitTest, AnOverloadDoesNotBecomeUsual) {
+  ConcurrencyLimit limit;
+  limit.set_most(5);
+  core::Instant now = answer(limit, core::Instant{}, 100, milliseconds(10));
+  now = answer(limit, now, 400, milliseconds(150));
+  EXPECT_LT(limit.unhindered(), milliseconds(80));
+}
+
+TEST(ConcurrencyLimitTest, ManyRefusalsAtOnceCountOnce) {
+  ConcurrencyLimit limit;
+  limit.set_most(10);
+  const core::Instant now = answer(limit, core::Instant{}, 50, milliseconds(10));
+  for (int number = 0; number < 20; ++number) {
+    limit.on_refused(now);
+  }
+  EXPECT_EQ(limit.limit(), 8U);
+}
+
+RC_GTEST_PROP(ConcurrencyLimitProperty, StaysBetweenOneAndTheMost, ()) {
+  ConcurrencyLimit limit;
+  const auto most = *rc::gen::inRange<std::uint32_t>(0, 50);
+  limit.set_most(most);
+  core::Instant now{};
+  const auto events = *rc::gen::container<std::vector<int>>(rc::gen::inRange(-1, 500));
+  for (const int event : events) {
+    now += milliseconds(3);
+    if (event < 0) {
+      limit.on_refused(now);
+    } else {
+      limit.on_answered(now, milliseconds(event));
+    }
+    RC_ASSERT(limit.limit() >= 1U);
+    RC_ASSERT(limit.limit() <= std::max(most, 1U));
+  }
+}
+
+}  // namespace
+}  // namespace pipitpond::pooling
