--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -207,7 +207,7 @@
       return;
     }
     session_.apply_fetched(core::BootClock::now());
-    log_->info("Revision {} is in force.", session_.configuration().revision);
+    log_->info("event=revision_in_force revision={}", session_.configuration().revision);
     const std::vector<ChangeCallback> callbacks = callbacks_;
     for (const ChangeCallback& callback : callbacks) {
       callback(session_.configuration());
--- a/src/logging/descriptor_sink.cpp
+++ b/src/logging/descriptor_sink.cpp
@@ -50,7 +50,9 @@
   if (budget.left_out == 0) {
     return;
   }
-  const std::string line = fmt::format("event=lines_left_out part={} count={}\n", part, budget.left_out);
+  const std::string text = fmt::format("event=lines_left_out part={} count={}", part, budget.left_out);
+  spdlog::memory_buf_t line;
+  formatter_->format(spdlog::details::log_msg("logging", spdlog::level::warn, text), line);
   if (write(line.data(), line.size())) {
     budget.left_out = 0;
   }
--- a/src/operators/command_line.cpp
+++ b/src/operators/command_line.cpp
@@ -4,11 +4,14 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <fstream>
 #include <optional>
 #include <ostream>
 #include <sstream>
 #include <utility>
 
+#include "explain/explanation.hpp"
+#include "explain/log_record.hpp"
 #include "operators/change_file.hpp"
 #include "operators/control_client.hpp"
 #include "operators/table.hpp"
@@ -25,6 +28,7 @@
   members add ID ADDRESS:PORT | members remove ID change the control replicas
   policy check FILE                               check a policy without submitting it
   explain --proxy ADDRESS:PORT REQUEST            why a recent request went where it went
+  explain --logs FILE [--logs FILE ...] REQUEST   why a request failed or came late, from collected logs
   explain --proxy ADDRESS:PORT --group NAME       where such a request would go now; see --kind, --tenant,
                                                   --session, --key and --repeatable
 
@@ -37,6 +41,7 @@
   std::vector<core::Endpoint> control;
   std::optional<core::Endpoint> proxy;
   std::string file;
+  std::vector<std::string> logs;
   std::string key;
   nlohmann::json described;  ///< Request that explain is asked about; null: none.
   bool json = false;
@@ -92,6 +97,8 @@
   add("session", "Its session token", cxxopts::value<std::string>());
   add("repeatable", "It may run more than once");
   add("f,file", "File for apply", cxxopts::value<std::string>());
+  add("logs", "Log of a process, or of several; may be given several times",
+      cxxopts::value<std::vector<std::string>>(), "FILE");
   add("key", "Key of the change; resending with the same key changes nothing twice. Default: a new one",
       cxxopts::value<std::string>());
   add("o,output", "json or table", cxxopts::value<std::string>()->default_value("table"));
@@ -125,6 +132,9 @@
     options.proxy = endpoint_of(parsed["proxy"].as<std::string>(), "--proxy");
   }
   options.file = parsed.count("file") > 0 ? parsed["file"].as<std::string>() : "";
+  if (parsed.count("logs") > 0) {
+    options.logs = parsed["logs"].as<std::vector<std::string>>();
+  }
   options.key = parsed.count("key") > 0 ? parsed["key"].as<std::string>() : "";
   options.described = described_request(parsed);
   const auto output = parsed["output"].as<std::string>();
@@ -354,9 +364,34 @@
     return show(call);
   }
 
+  /// Reads collected logs; asks nobody.
+  ExitCode explain_from_logs() {
+    expect_words(2);
+    const std::string& request = word(1, "Name the request by its identifier.");
+    std::vector<explain::LogRecord> records;
+    for (const std::string& file : options_.logs) {
+      std::ifstream lines(file);
+      if (!lines) {
+        throw UsageError{"can't read " + file, "Name a log file that this user may read."};
+      }
+      for (std::string line; std::getline(lines, line);) {
+        if (auto record = explain::parse_line(line)) {
+          records.push_back(std::move(*record));
+        }
+      }
+    }
+    const explain::Explanation explanation = explain::explain(records, request);
+    output_.out << explain::to_text(explanation);
+    return explanation.cause == explain::Cause::kNotLogged ? ExitCode::kRefused : ExitCode::kOk;
+  }
+
   ExitCode explain() {
+    if (!options_.logs.empty()) {
+      return explain_from_logs();
+    }
     if (!options_.proxy) {
-      throw UsageError{"explain needs a proxy", "Give --proxy ADDRESS:PORT of the one that answered."};
+      throw UsageError{"explain needs logs or a proxy",
+                       "Give --logs FILE, or --proxy ADDRESS:PORT of the one that answered."};
     }
     if (options_.described.is_object()) {
       expect_words(1);
--- a/src/pooling/daemon.cpp
+++ b/src/pooling/daemon.cpp
@@ -189,9 +189,9 @@
   last_reason_ = reason;
   const auto log = logging::logger("pooling");
   if (reason.empty()) {
-    log->info("Ready: routes of version {}.", routes_.version());
+    log->info("event=ready routes_version={}", routes_.version());
   } else {
-    log->warn("Not ready: {}", reason);
+    log->warn("event=not_ready reason={}", logging::field(reason));
   }
 }
 
@@ -211,7 +211,7 @@
   const core::Instant give_up = begun + options_.stop_grace - kFarewell;
   const auto log = logging::logger("pooling");
   stopping_ = true;
-  log->info("Drain: {} sessions are open.", listener_->sessions());
+  log->info("event=drain_begun sessions={} forwarded={}", listener_->sessions(), forwards_.in_progress());
   forwards_.refuse_new();
   // Control learns of it at the end only: a leaving daemon has no share of the databases' connections.
   co_await close_quiet_sessions(begun + kStillAccepting);
@@ -223,7 +223,7 @@
     session->end_transaction_for_stop();
   }
   co_await close_quiet_sessions(give_up);
-  log->info("Drain: {} sessions are left.", listener_->sessions());
+  log->info("event=drain_ended sessions={} forwarded={}", listener_->sessions(), forwards_.in_progress());
   agent_->set_leaving();
   backends_.close();
   co_await agent_->depart(kFarewell / 2);
--- a/src/runtime/program.cpp
+++ b/src/runtime/program.cpp
@@ -135,7 +135,7 @@
       log->error("The changed settings are not taken: {}", describe(*error));
       return;
     }
-    log->info("The settings were read again.");
+    log->info("event=reload The settings were read again.");
     daemon_.reload();
   }
 
@@ -214,14 +214,14 @@
     return loaded ? std::nullopt : std::optional(loaded.error());
   };
   const Reloader reloader(io, *started.value(), read_again, settings_file(arguments));
-  log->info("{} {} runs.", program.name, PIPITPOND_VERSION);
+  log->info("event=start program={} version={}", program.name, PIPITPOND_VERSION);
   try {
     io.run();
   } catch (const std::exception& error) {
     log->critical("The process ends on a fault: {}", error.what());
     return kExitFailed;
   }
-  log->info("{} has stopped.", program.name);
+  log->info("event=stop program={0} {0} has stopped.", program.name);
   // Suspended coroutines refer to the daemon and the daemon to the io_context, so neither can be destroyed
   // before the other. Nothing is lost: what must last has been synced, and logs are flushed line by line.
   std::_Exit(stopper.exit_code());
--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -73,7 +73,8 @@
   static int number = 0;
   Answer answer;
   lines_->set_deadline(kCallTimeout);
-  std::string line = "QUERY t" + std::to_string(++number) + " " + text + "\r\n";
+  last_request_ = "t" + std::to_string(++number);
+  std::string line = "QUERY " + last_request_ + " " + text + "\r\n";
   (void)co_await lines_->write(std::move(line));
   while (true) {
     const auto got = co_await lines_->read_line();
@@ -201,6 +202,16 @@
   }
 }
 
+std::vector<std::filesystem::path> PlatformFleet::logs() const {
+  std::vector<std::filesystem::path> files;
+  for (const auto* members : {&controls_, &proxies_}) {
+    for (const Member& member : *members) {
+      files.emplace_back(member.settings.string() + ".log");
+    }
+  }
+  return files;
+}
+
 void PlatformFleet::restart_control(std::size_t number) {
   start(controls_.at(number), "pipitpond-platform-control");
 }
--- a/tests/platform/platform_fleet.hpp
+++ b/tests/platform/platform_fleet.hpp
@@ -33,6 +33,8 @@
   /// Opens a session; false when it is refused.
   bool open(const std::string& database);
   Answer query(const std::string& text);
+  /// Identifier of the last query.
+  [[nodiscard]] const std::string& last_request() const { return last_request_; }
   /// Sends bytes as they are and reads one line; empty when the connection ends.
   std::string send_raw(const std::string& bytes);
 
@@ -43,6 +45,7 @@
 
   boost::asio::io_context& io_;
   core::Endpoint proxy_;
+  std::string last_request_;
   std::unique_ptr<LineStream> lines_;
 };
 
@@ -74,6 +77,8 @@
   process::Child& control(std::size_t number) { return *controls_.at(number).child; }
   void restart_control(std::size_t number);
   void restart_proxy(std::size_t number);
+  /// Files with the logs of all processes.
+  [[nodiscard]] std::vector<std::filesystem::path> logs() const;
   [[nodiscard]] std::string configuration(std::uint64_t version, unsigned timeout_millis = 2000) const;
 
  private:
--- a/tools/platform_stage/service.hpp
+++ b/tools/platform_stage/service.hpp
@@ -49,6 +49,8 @@
   [[nodiscard]] const std::vector<Promotion>& promotions() const { return promotions_; }
   /// From the next heartbeat on, the database says that it is draining.
   void drain(std::size_t number) { draining_.insert(databases_.at(number)->options().id); }
+  /// How long a promotion takes from now on.
+  void set_promotion(core::Duration promotion) { options_.promotion = promotion; }
   /// Numbers of acknowledged heartbeats.
   [[nodiscard]] std::size_t heartbeats() const { return heartbeats_; }
 
