Soak: fleets of real processes under overlapping faults, judged by an oracle

Change: tests/soak: three control replicas, three proxies, stand-in databases behind the fault proxy; faults drawn by a seed (kills, freezes, stops, hang-ups, lost and full disks, clocks of restarted processes off by up to 10 s, all of control killed, databases that crash, fall silent, lose answers, are slow or cut off, cut links, changes of the configuration); eight callers with sessions and transactions; a judge that compares what they were told with the databases' logs. The fleet of tests/platform moved to tests/platform_support.

--- a/tests/platform/explain_test.cpp
+++ b/tests/platform/explain_test.cpp
@@ -5,7 +5,7 @@
 
 #include <fstream>
 
-#include "platform/platform_fleet.hpp"
+#include "platform_support/platform_fleet.hpp"
 
 namespace pipitpond::platform {
 namespace {
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -9,7 +9,7 @@
 #include <set>
 #include <string>
 
-#include "platform/platform_fleet.hpp"
+#include "platform_support/platform_fleet.hpp"
 
 namespace pipitpond::platform {
 namespace {
--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_fleet.hpp"
+#include "platform_support/platform_fleet.hpp"
 
 #include <csignal>
 #include <cstdlib>
@@ -196,7 +196,17 @@
   options.arguments = {"--config", member.settings.string()};
   options.arguments.insert(options.arguments.end(), more.begin(), more.end());
   options.output = member.settings.string() + ".log";
+  const char* clock_library = std::getenv("PIPITPOND_SOAK_CLOCK");
+  const bool shifted = clock_library != nullptr && clock_shift_.count() != 0;
+  if (shifted) {
+    setenv("LD_PRELOAD", clock_library, 1);
+    setenv("SOAK_CLOCK_SHIFT_MS", std::to_string(clock_shift_.count()).c_str(), 1);
+  }
   auto child = process::Child::start(options);
+  if (shifted) {
+    unsetenv("LD_PRELOAD");
+    unsetenv("SOAK_CLOCK_SHIFT_MS");
+  }
   if (child) {
     member.child = std::move(child.value());
   }
@@ -216,6 +226,11 @@
   start(controls_.at(number), "pipitpond-platform-control");
 }
 
+void PlatformFleet::lose_disk(std::size_t control) {
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_ / ("data-" + std::to_string(control)), ignored);
+}
+
 void PlatformFleet::restart_proxy(std::size_t number) {
   start(proxies_.at(number), "pipitpond-platform-proxy");
 }
--- a/tests/platform/platform_fleet.hpp
+++ b/tests/platform_support/platform_fleet.hpp
@@ -77,6 +77,16 @@
   process::Child& control(std::size_t number) { return *controls_.at(number).child; }
   void restart_control(std::size_t number);
   void restart_proxy(std::size_t number);
+  /// Removes a control replica's data. It must not run.
+  void lose_disk(std::size_t control);
+  /// Processes that are started from now on have a time of day that is off by so much; see tests/soak/clock.
+  void set_clock_shift(std::chrono::milliseconds shift) { clock_shift_ = shift; }
+  /// Status and body of a request to any HTTP endpoint.
+  std::pair<unsigned, std::string> call(const core::Endpoint& endpoint, const std::string& method,
+                                        const std::string& path, const std::string& body);
+  [[nodiscard]] std::size_t controls() const { return controls_.size(); }
+  [[nodiscard]] std::size_t proxies() const { return proxies_.size(); }
+  [[nodiscard]] const std::filesystem::path& folder() const { return folder_; }
   /// Files with the logs of all processes.
   [[nodiscard]] std::vector<std::filesystem::path> logs() const;
   [[nodiscard]] std::string configuration(std::uint64_t version, unsigned timeout_millis = 2000) const;
@@ -93,8 +103,6 @@
   void write_control(std::size_t number, const std::string& seeds, std::uint16_t internal);
   void write_proxy(std::size_t number, const std::string& seeds, std::uint16_t internal);
   void start(Member& member, const char* program, const std::vector<std::string>& more = {});
-  std::pair<unsigned, std::string> call(const core::Endpoint& endpoint, const std::string& method,
-                                        const std::string& path, const std::string& body);
 
   boost::asio::io_context io_;
   std::filesystem::path folder_;
@@ -102,6 +110,7 @@
   core::Endpoint promotion_;
   std::vector<Member> controls_;
   std::vector<Member> proxies_;
+  std::chrono::milliseconds clock_shift_{0};
 };
 
 }  // namespace pipitpond::platform
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,308 @@
+#include "soak/soak_faults.hpp"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+#include "process/ports.hpp"
+
+namespace pipitpond::soak {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kMostAtOnce = 2;
+constexpr auto kStopLimit = std::chrono::seconds(10);
+constexpr auto kDeathLimit = std::chrono::seconds(5);
+
+/// From now on the process can't write to files, as on a full disk, or can again.
+void set_disk_full(process::Child& child, bool full) {
+  const rlim_t limit = full ? 0 : RLIM_INFINITY;
+  const rlimit limits{limit, RLIM_INFINITY};
+  prlimit(child.pid(), RLIMIT_FSIZE, &limits, nullptr);
+}
+
+void kill(process::Child& child) {
+  child.signal(SIGKILL);
+  child.wait(kDeathLimit);
+}
+
+}  // namespace
+
+// --- Links
+// -------------------------------------------------------------------------------------------------------
+
+DatabaseLinks::DatabaseLinks(const std::filesystem::path& folder, int databases, std::uint64_t seed) {
+  const auto count = static_cast<std::size_t>(databases);
+  ports_ = process::free_ports("127.0.0.1", count);
+  const auto link_ports = process::free_ports("127.0.0.1", count + 1);
+  admin_ = {"127.0.0.1", link_ports.back()};
+  const std::filesystem::path settings = folder / "links.toml";
+  std::ofstream file(settings);
+  file << "seed = " << seed % 1'000'000 + 1 << "\n[listen]\naddress = \"127.0.0.1\"\nport = " << admin_.port
+       << "\n";
+  for (std::size_t number = 0; number < count; ++number) {
+    links_.push_back({"127.0.0.1", link_ports[number]});
+    file << "[[links]]\nname = \"db" << number << "\"\nlisten = \"" << core::to_string(links_.back())
+         << "\"\ntarget = \"127.0.0.1:" << ports_[number] << "\"\n";
+  }
+  file.close();
+  process::ChildOptions options;
+  options.program = std::filesystem::path(std::getenv("PIPITPOND_BIN")) / "pipitpond-faultproxy";
+  options.arguments = {"--config", settings.string()};
+  options.output = folder / "links.log";
+  auto child = process::Child::start(options);
+  if (child) {
+    child_ = std::move(child.value());
+  }
+}
+
+platform_stage::ServiceOptions DatabaseLinks::service() const {
+  platform_stage::ServiceOptions service;
+  service.databases = static_cast<int>(ports_.size());
+  service.ports = ports_;
+  service.advertised = links_;
+  return service;
+}
+
+// --- Faults
+// ------------------------------------------------------------------------------------------------------
+
+SoakFaults::SoakFaults(platform::PlatformFleet& fleet, const DatabaseLinks& links, std::uint64_t seed)
+    : fleet_(fleet), links_(links), random_(seed), begun_(core::BootClock::now()) {}
+
+void SoakFaults::step(core::Instant now) {
+  for (auto active = active_.begin(); active != active_.end();) {
+    if (now < active->ends) {
+      ++active;
+      continue;
+    }
+    active->end();
+    active = active_.erase(active);
+  }
+  if (now >= next_ && active_.size() < kMostAtOnce) {
+    begin(now);
+    next_ = now + milliseconds(200 + draw(900));
+  }
+}
+
+void SoakFaults::heal() {
+  for (const Active& active : active_) {
+    active.end();
+  }
+  active_.clear();
+}
+
+void SoakFaults::add(core::Instant now, const std::string& subject, const std::string& what,
+                     std::function<void()> end) {
+  told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: " + what + " " + subject);
+  active_.push_back(Active{subject, now + milliseconds(300 + draw(2500)), std::move(end)});
+}
+
+bool SoakFaults::is_hit(const std::string& subject) const {
+  return std::any_of(active_.begin(), active_.end(),
+                     [&](const Active& active) { return active.subject == subject; });
+}
+
+bool SoakFaults::any_control_hit() const {
+  return std::any_of(active_.begin(), active_.end(),
+                     [](const Active& active) { return active.subject.starts_with("control"); });
+}
+
+void SoakFaults::begin(core::Instant now) {
+  switch (draw(12)) {
+    case 0:
+    case 1:
+    case 2:
+      hit_proxy(now);
+      break;
+    case 3:
+    case 4:
+      hit_control(now);
+      break;
+    case 5:
+      kill_all_control(now);
+      break;
+    case 6:
+    case 7:
+    case 8:
+      hit_database(now);
+      break;
+    case 9:
+    case 10:
+      hit_link(now);
+      break;
+    default:
+      change_configuration();
+      break;
+  }
+}
+
+void SoakFaults::shift_clock() {
+  fleet_.set_clock_shift(milliseconds(static_cast<std::int64_t>(draw(20'000)) - 10'000));
+}
+
+void SoakFaults::restart_control(std::size_t number) {
+  if (!fleet_.control(number).running()) {
+    shift_clock();
+    fleet_.restart_control(number);
+  }
+}
+
+void SoakFaults::restart_proxy(std::size_t number) {
+  if (!fleet_.proxy(number).running()) {
+    shift_clock();
+    fleet_.restart_proxy(number);
+  }
+}
+
+void SoakFaults::hit_proxy(core::Instant now) {
+  const std::size_t number = draw(fleet_.proxies());
+  const std::string subject = "proxy " + std::to_string(number);
+  if (is_hit(subject)) {
+    return;
+  }
+  process::Child& proxy = fleet_.proxy(number);
+  switch (draw(4)) {
+    case 0:
+      kill(proxy);
+      add(now, subject, "kill", [this, number] { restart_proxy(number); });
+      break;
+    case 1:
+      proxy.signal(SIGSTOP);
+      add(now, subject, "freeze", [this, number] { fleet_.proxy(number).signal(SIGCONT); });
+      break;
+    case 2:
+      proxy.signal(SIGTERM);
+      add(now, subject, "stop", [this, number] {
+        fleet_.wait([&] { return !fleet_.proxy(number).running(); }, kStopLimit);
+        restart_proxy(number);
+      });
+      break;
+    default:
+      proxy.signal(SIGHUP);
+      add(now, subject, "hang up", [] {});
+      break;
+  }
+}
+
+void SoakFaults::hit_control(core::Instant now) {
+  if (any_control_hit()) {
+    return;  // One of three may be away.
+  }
+  const std::size_t number = draw(fleet_.controls());
+  const std::string subject = "control " + std::to_string(number);
+  process::Child& control = fleet_.control(number);
+  switch (draw(4)) {
+    case 0:
+      kill(control);
+      add(now, subject, "kill", [this, number] { restart_control(number); });
+      break;
+    case 1:
+      control.signal(SIGSTOP);
+      add(now, subject, "freeze", [this, number] { fleet_.control(number).signal(SIGCONT); });
+      break;
+    case 2:
+      kill(control);
+      fleet_.lose_disk(number);
+      add(now, subject, "lose the disk of", [this, number] { restart_control(number); });
+      break;
+    default:
+      set_disk_full(control, true);
+      add(now, subject, "fill the disk of", [this, number] {
+        if (fleet_.control(number).running()) {
+          set_disk_full(fleet_.control(number), false);
+        }
+        restart_control(number);
+      });
+      break;
+  }
+}
+
+void SoakFaults::kill_all_control(core::Instant now) {
+  if (any_control_hit()) {
+    return;
+  }
+  for (std::size_t number = 0; number < fleet_.controls(); ++number) {
+    kill(fleet_.control(number));
+  }
+  add(now, "control, all", "kill", [this] {
+    for (std::size_t number = 0; number < fleet_.controls(); ++number) {
+      restart_control(number);
+    }
+  });
+}
+
+void SoakFaults::hit_database(core::Instant now) {
+  const std::size_t number = draw(3);
+  const std::string subject = "database " + std::to_string(number);
+  if (is_hit(subject)) {
+    return;
+  }
+  platform_stage::Database& database = fleet_.service().database(number);
+  switch (draw(6)) {
+    case 0:
+      database.crash();
+      add(now, subject, "crash", [&database] { database.restart(); });
+      break;
+    case 1:
+      database.set_dark(true);
+      add(now, subject, "darken", [&database] { database.set_dark(false); });
+      break;
+    case 2:
+      database.set_cut_off(true);
+      add(now, subject, "cut off from the others", [&database] { database.set_cut_off(false); });
+      break;
+    case 3:
+      database.lose_answers(3);
+      add(now, subject, "lose 3 answers of", [&database] { database.lose_answers(0); });
+      break;
+    case 4:
+      database.fail_statements(4);
+      add(now, subject, "fail 4 statements of", [&database] { database.fail_statements(0); });
+      break;
+    default:
+      database.set_work(milliseconds(60));
+      add(now, subject, "slow", [&database] { database.set_work(milliseconds(2)); });
+      break;
+  }
+}
+
+void SoakFaults::set_link(std::size_t number, const char* mode) {
+  fleet_.call(links_.admin(), "POST", "/v1/links/db" + std::to_string(number),
+              std::string("{\"mode\":\"") + mode + "\"}");
+}
+
+void SoakFaults::hit_link(core::Instant now) {
+  const std::size_t number = draw(3);
+  const std::string subject = "link " + std::to_string(number);
+  if (is_hit(subject)) {
+    return;
+  }
+  const char* mode =
+      std::array<const char*, 4>{"cut", "refuse", "cut_to_target", "cut_to_client"}.at(draw(4));
+  set_link(number, mode);
+  add(now, subject, mode, [this, number] { set_link(number, "pass"); });
+}
+
+/// Sent to one replica of control after another until one acknowledges; who gave the answer may be next.
+void SoakFaults::change_configuration() {
+  version_ += 1 + draw(3);
+  const std::size_t first = draw(fleet_.controls());
+  for (std::size_t tried = 0; tried < fleet_.controls(); ++tried) {
+    const std::size_t number = (first + tried) % fleet_.controls();
+    if (is_hit("control " + std::to_string(number)) || is_hit("control, all")) {
+      continue;  // Frozen, it would keep this thread waiting.
+    }
+    const auto answer = fleet_.call_control(number, "POST", "/Config.Put", fleet_.configuration(version_));
+    if (answer.first == 200) {
+      acknowledged_version_ = version_;
+      return;
+    }
+  }
+}
+
+}  // namespace pipitpond::soak
--- /dev/null
+++ b/tests/soak/soak_test.cpp
@@ -0,0 +1,200 @@
+// Runs of a fleet of real processes under overlapping faults, judged by an oracle. Seeds that once failed are
+// kept here; scripts/soak plays fresh ones (PIPITPOND_SOAK_SEEDS="FIRST LAST", PIPITPOND_SOAK_SECONDS).
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <filesystem>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "soak/judge.hpp"
+#include "soak/soak_caller.hpp"
+#include "soak/soak_faults.hpp"
+
+namespace pipitpond::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kDatabases = 3;
+constexpr int kControls = 3;
+constexpr int kProxies = 3;
+constexpr std::uint64_t kCallers = 8;
+constexpr int kDefaultSeconds = 8;
+
+/// A folder of its own for each run's fault proxy.
+std::filesystem::path run_folder(std::uint64_t seed) {
+  const auto folder = std::filesystem::temp_directory_path() /
+                      ("pipitpond-soak-" + std::to_string(getpid()) + "-" + std::to_string(seed));
+  std::filesystem::create_directories(folder);
+  return folder;
+}
+
+class SoakRun {
+ public:
+  explicit SoakRun(std::uint64_t seed)
+      : folder_(run_folder(seed)),
+        links_(folder_, kDatabases, seed),
+        fleet_(links_.service(), kControls, kProxies),
+        faults_(fleet_, links_, seed) {
+    std::vector<core::Endpoint> proxies;
+    for (std::size_t number = 0; number < kProxies; ++number) {
+      proxies.push_back(fleet_.callers(number));
+    }
+    for (std::uint64_t number = 0; number < kCallers; ++number) {
+      callers_.push_back(std::make_unique<SoakCaller>(fleet_.io(), proxies, number, seed));
+    }
+  }
+  ~SoakRun() { std::filesystem::remove_all(folder_); }
+  SoakRun(const SoakRun&) = delete;
+  SoakRun& operator=(const SoakRun&) = delete;
+
+  bool become_ready() { return fleet_.become_ready(); }
+
+  void play(milliseconds length) {
+    for (const auto& caller : callers_) {
+      boost::asio::co_spawn(fleet_.io(), caller->run(), boost::asio::detached);
+    }
+    const core::Instant end = core::BootClock::now() + length;
+    while (core::BootClock::now() < end) {
+      faults_.step(core::BootClock::now());
+      fleet_.pause(milliseconds(20));
+    }
+  }
+
+  /// Ends all faults and waits until every proxy serves writes again.
+  bool recover() {
+    faults_.heal();
+    for (std::size_t number = 0; number < kProxies; ++number) {
+      if (!fleet_.wait([&] { return serves(number); })) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  bool stop_callers() {
+    for (const auto& caller : callers_) {
+      caller->stop();
+    }
+    return fleet_.wait([&] {
+      return std::all_of(callers_.begin(), callers_.end(),
+                         [](const auto& caller) { return caller->ended(); });
+    });
+  }
+
+  std::vector<std::string> judged() {
+    std::vector<Operation> operations;
+    for (const auto& caller : callers_) {
+      operations.insert(operations.end(), caller->operations().begin(), caller->operations().end());
+    }
+    std::erase_if(operations, [](const Operation& operation) { return operation.statements.empty(); });
+    operations_ = operations.size();
+    operations.push_back(Operation{0, Route::kWrites, probes_});
+    DatabasesEnd end;
+    end.log = fleet_.service().primary()->log();
+    for (std::size_t number = 0; number < kDatabases; ++number) {
+      const auto& executed = fleet_.service().database(number).executed();
+      end.executed.insert(end.executed.end(), executed.begin(), executed.end());
+    }
+    // What the run's own probes asked is not judged.
+    const auto own = [](const std::string& request) { return request.starts_with("t"); };
+    std::erase_if(end.executed, [&](const auto& executed) { return own(executed.request); });
+    for (platform_stage::Commit& commit : end.log) {
+      std::erase_if(commit.writes, [&](const auto& write) { return own(write.request); });
+    }
+    operations.pop_back();
+    return judge(operations, end);
+  }
+
+  /// Empty, or what is wrong with the configuration that control holds.
+  std::string judge_configuration() {
+    std::string wrong = "no replica of control answers";
+    fleet_.wait([&] {
+      const auto [status, body] = fleet_.call_control(0, "GET", "/Config.Get", "");
+      if (status != 200) {
+        return false;
+      }
+      const auto version = nlohmann::json::parse(body).at("Version").get<std::uint64_t>();
+      wrong = version < faults_.acknowledged_version()
+                  ? "CONFIG: version " + std::to_string(version) + " is held after " +
+                        std::to_string(faults_.acknowledged_version()) + " was acknowledged"
+                  : "";
+      return true;
+    });
+    return wrong;
+  }
+
+  [[nodiscard]] std::size_t operations() const { return operations_; }
+  [[nodiscard]] std::string story() const {
+    std::string text;
+    for (const std::string& line : faults_.told()) {
+      text += line + "\n";
+    }
+    return text;
+  }
+
+ private:
+  bool serves(std::size_t proxy) {
+    auto caller = fleet_.caller(proxy, "writes");
+    return caller != nullptr && caller->query("WRITE probe probe/x").ok();
+  }
+
+  std::filesystem::path folder_;
+  DatabaseLinks links_;
+  platform::PlatformFleet fleet_;
+  SoakFaults faults_;
+  std::vector<std::unique_ptr<SoakCaller>> callers_;
+  std::vector<AskedStatement> probes_;
+  std::size_t operations_ = 0;
+};
+
+void soak(std::uint64_t seed, int seconds) {
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  SoakRun run(seed);
+  ASSERT_TRUE(run.become_ready());
+  run.play(std::chrono::seconds(seconds));
+  const bool recovered = run.recover();
+  EXPECT_TRUE(recovered) << "a proxy serves no writes after all faults have ended\n" << run.story();
+  EXPECT_TRUE(run.stop_callers()) << "a caller got no answer\n" << run.story();
+  const std::vector<std::string> broken = run.judged();
+  for (const std::string& line : broken) {
+    ADD_FAILURE() << line;
+  }
+  EXPECT_EQ(run.judge_configuration(), "");
+  EXPECT_GT(run.operations(), 100U);
+  if (::testing::Test::HasFailure()) {
+    std::cout << "seed " << seed << ":\n" << run.story();
+  }
+  std::cout << "soak: seed " << seed << ", " << run.operations() << " operations, " << broken.size()
+            << " broken promises" << std::endl;
+}
+
+class SoakSeeds : public ::testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(SoakSeeds, KeepsEveryPromise) {
+  soak(GetParam(), kDefaultSeconds);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kept, SoakSeeds, ::testing::Values(1, 2));
+
+TEST(Soak, FreshSeeds) {
+  const char* range = std::getenv("PIPITPOND_SOAK_SEEDS");
+  if (range == nullptr) {
+    GTEST_SKIP() << "scripts/soak gives the seeds";
+  }
+  const char* length = std::getenv("PIPITPOND_SOAK_SECONDS");
+  const int seconds = length == nullptr ? kDefaultSeconds : std::atoi(length);
+  std::istringstream words(range);
+  std::uint64_t first = 0;
+  std::uint64_t last = 0;
+  words >> first >> last;
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    soak(seed, seconds);
+  }
+}
+
+}  // namespace
+}  // namespace pipitpond::soak
--- a/tools/platform_stage/service.cpp
+++ b/tools/platform_stage/service.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr core::Duration kCallTimeout = std::chrono::seconds(1);
+/// A primary that can reach a newer one goes on for this long.
+constexpr core::Duration kReplacedGoesOn = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -25,6 +27,7 @@
     DatabaseOptions database;
     database.id = options_.name + "-" + std::to_string(number);
     database.service = options_.name;
+    database.port = options_.ports.empty() ? 0 : options_.ports.at(static_cast<std::size_t>(number));
     databases_.push_back(std::make_unique<Database>(io, database, *this));
   }
 }
@@ -86,8 +89,26 @@
   }
 }
 
+/// An old primary becomes a replica of a newer one that it can reach, a little later.
+void Service::retire_replaced_primaries(core::Instant now) {
+  const Database* newest = primary();
+  for (const auto& database : databases_) {
+    const bool replaced = newest != nullptr && newest->linked() && database->linked() &&
+                          database->primary() && database->term() < newest->term();
+    if (!replaced) {
+      replaced_since_.erase(database->options().id);
+      continue;
+    }
+    const core::Instant since = replaced_since_.try_emplace(database->options().id, now).first->second;
+    if (now - since >= kReplacedGoesOn) {
+      database->follow(newest->term());
+    }
+  }
+}
+
 awaitable<void> Service::replicate_all() {
   while (!stopped_) {
+    retire_replaced_primaries(core::BootClock::now());
     for (const auto& database : databases_) {
       if (database->running() && database->primary()) {
         catch_up(*database);
@@ -140,8 +161,8 @@
   for (const auto& database : databases_) {
     if (database->options().id == id && database->running()) {
       database->become_primary(newest + 1);
-    } else if (!database->primary() && database->linked()) {
-      database->follow(database->term());
+    } else if (!database->primary()) {
+      database->follow(database->term());  // A promotion ends all holds.
     }
   }
 }
@@ -154,7 +175,7 @@
   while (!stopped_) {
     Database& database = *databases_[number];
     const bool silent = !database.running();
-    if (!silent && co_await send_heartbeat(database, ++sequence)) {
+    if (!silent && co_await send_heartbeat(number, ++sequence)) {
       ++heartbeats_;
     }
     co_await pooling::pause_for(io_, options_.heartbeat);
@@ -162,11 +183,14 @@
 }
 
 /// To one daemon of control after another, until one acknowledges.
-awaitable<bool> Service::send_heartbeat(Database& database, std::uint64_t sequence) {
+awaitable<bool> Service::send_heartbeat(std::size_t number, std::uint64_t sequence) {
+  Database& database = *databases_[number];
   const DatabaseOptions& options = database.options();
+  const core::Endpoint place = options_.advertised.empty() ? core::Endpoint{"127.0.0.1", options.port}
+                                                           : options_.advertised.at(number);
   const bool draining = draining_.contains(options.id);
   const json body = {{"Service", options.service},
-                     {"Address", "127.0.0.1:" + std::to_string(options.port)},
+                     {"Address", core::to_string(place)},
                      {"Zone", options.zone},
                      {"Version", "v1"},
                      {"Slots", 3},
--- a/tools/platform_stage/service.hpp
+++ b/tools/platform_stage/service.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,7 +21,9 @@
   core::Duration replication_lag = std::chrono::milliseconds(3);
   core::Duration promotion = std::chrono::milliseconds(150);
   core::Duration heartbeat = std::chrono::milliseconds(200);
-  std::vector<core::Endpoint> control;  ///< Addresses of control's HTTP interface.
+  std::vector<core::Endpoint> control;     ///< Addresses of control's HTTP interface.
+  std::vector<std::uint16_t> ports;        ///< Of the databases; empty: any free ones.
+  std::vector<core::Endpoint> advertised;  ///< Where the databases say that they are; empty: where they are.
 };
 
 /// A promotion that was ordered.
@@ -66,10 +69,11 @@
 
   boost::asio::awaitable<void> replicate_all();
   boost::asio::awaitable<void> send_heartbeats(std::size_t number);
-  boost::asio::awaitable<bool> send_heartbeat(Database& database, std::uint64_t sequence);
+  boost::asio::awaitable<bool> send_heartbeat(std::size_t number, std::uint64_t sequence);
   boost::asio::awaitable<void> promote(std::string id);
   http::Response order(const http::Request& request);
   void catch_up(Database& primary);
+  void retire_replaced_primaries(core::Instant now);
 
   boost::asio::io_context& io_;
   ServiceOptions options_;
@@ -78,6 +82,7 @@
   std::unique_ptr<http::Server> promotion_call_;
   std::vector<Promotion> promotions_;
   std::set<std::string> draining_;
+  std::map<std::string, core::Instant> replaced_since_;  ///< Primaries that can reach a newer one.
   std::size_t heartbeats_ = 0;
   bool stopped_ = false;
 };
