--- a/tools/platform_stage/database.cpp
+++ b/tools/platform_stage/database.cpp
@@ -65,18 +65,30 @@
 void Database::start() {
   running_ = true;
   ++life_;
-  acceptor_ = std::make_unique<tcp::acceptor>(
-      io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), options_.port), true);
-  options_.port = acceptor_->local_endpoint().port();
+  if (!acceptor_) {
+    take_port();
+  }
+  acceptor_->listen();
   asio::co_spawn(io_, accept(life_), asio::detached);
 }
 
+/// Without listening: connections are refused, and no other process can take the port.
+void Database::take_port() {
+  acceptor_ = std::make_unique<tcp::acceptor>(io_);
+  const tcp::endpoint place(asio::ip::make_address("127.0.0.1"), options_.port);
+  acceptor_->open(place.protocol());
+  acceptor_->set_option(tcp::acceptor::reuse_address(true));
+  acceptor_->bind(place);
+  options_.port = acceptor_->local_endpoint().port();
+}
+
 void Database::crash() {
   running_ = false;
   ++life_;
   if (acceptor_) {
     error_code ignored;
     acceptor_->close(ignored);
+    take_port();
   }
   for (const auto& session : sessions_) {
     session->lines.close();
--- a/tools/platform_stage/database.hpp
+++ b/tools/platform_stage/database.hpp
@@ -88,6 +88,7 @@
  private:
   struct Session;
 
+  void take_port();
   boost::asio::awaitable<void> accept(std::uint64_t life);
   boost::asio::awaitable<void> serve(std::shared_ptr<Session> session);
   boost::asio::awaitable<bool> open(Session& session);
