Keep control's members connected, so that the first candidate is heard

Cause: after a start of all processes every first candidate lost: its requests are one-way messages, which are dropped while there is no connection, and they themselves began to connect. Ruled out: votes refused for a leader heard recently (voters had been up for longer than that). Change: a control replica looks every 50 ms whether all other members are connected (wire::Channel::connect). Its test failed to arrive before.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -17,6 +17,8 @@
 
 using boost::asio::awaitable;
 
+/// Between looks at whether all other members are connected.
+constexpr core::Duration kConnectInterval = std::chrono::milliseconds(50);
 constexpr core::Duration kJoinInterval = std::chrono::milliseconds(300);
 constexpr core::Duration kHandOverLimit = std::chrono::seconds(3);
 constexpr core::Duration kFinishLimit = std::chrono::seconds(5);
@@ -95,6 +97,7 @@
     platform_->start();
   }
   boost::asio::co_spawn(io_, ask_to_join(), boost::asio::detached);
+  boost::asio::co_spawn(io_, keep_members_connected(), boost::asio::detached);
   co_return core::outcome::success();
 }
 
@@ -293,6 +296,20 @@
   }
 }
 
+/// Messages of consensus are dropped while there is no connection. A candidate whose first requests only open
+/// connections would lose its election to nobody and wait for the next one.
+awaitable<void> ControlServer::keep_members_connected() {
+  const raft::Node& node = replica_->node();
+  while (!stopping_) {
+    for (const raft::Member& member : node.membership().members) {
+      if (member.id != node.config().id) {
+        peers_.keep_connected(member.internal);
+      }
+    }
+    co_await pause(kConnectInterval);
+  }
+}
+
 awaitable<void> ControlServer::stop() {
   stopping_ = true;
   http_->stop_accepting();
--- a/src/control/control_server.hpp
+++ b/src/control/control_server.hpp
@@ -77,6 +77,7 @@
   boost::asio::awaitable<void> serve_operator(http::Request request, http::Responder respond);
   boost::asio::awaitable<protocol::OperatorReply> serve_forwarded(protocol::OperatorRequest request);
   boost::asio::awaitable<void> ask_to_join();
+  boost::asio::awaitable<void> keep_members_connected();
   boost::asio::awaitable<void> hand_over_leadership();
   boost::asio::awaitable<void> finish_requests();
   boost::asio::awaitable<void> pause(core::Duration duration);
--- a/src/control/peer_channels.cpp
+++ b/src/control/peer_channels.cpp
@@ -24,6 +24,10 @@
   return *slot;
 }
 
+void PeerChannels::keep_connected(const core::Endpoint& peer) {
+  channel(peer).connect();
+}
+
 void PeerChannels::send(const core::Endpoint& peer, const raft::Message& message) {
   channel(peer).notify(MessageType::kRaft, wire::pack(message));
 }
--- a/src/control/peer_channels.hpp
+++ b/src/control/peer_channels.hpp
@@ -22,6 +22,8 @@
   /// `receive` gets the Raft messages that peers send back over these channels.
   PeerChannels(boost::asio::io_context& io, std::function<void(raft::Message)> receive);
 
+  /// Sees to it that there is a connection by the time that one is needed.
+  void keep_connected(const core::Endpoint& peer);
   /// Sends a Raft message; it may be lost.
   void send(const core::Endpoint& peer, const raft::Message& message);
   /// Passes an operator's request on.
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "logging/logging.hpp"
 #include "wire/codec.hpp"
 
 namespace pipitpond::control {
@@ -144,6 +145,7 @@
   }
   note_leadership_loss();
   note_leadership_gain();
+  note_candidacy();
   if (machine_.configuration().revision != told_revision_) {
     told_revision_ = machine_.configuration().revision;
     events_.configuration_changed(machine_.configuration());
@@ -252,6 +254,15 @@
   }
 }
 
+void Replica::note_candidacy() {
+  if (node_.candidacies() == told_candidacies_) {
+    return;
+  }
+  told_candidacies_ = node_.candidacies();
+  logging::logger("control")->info("event=candidacy term={} count={} last={}.{}", node_.term(),
+                                   told_candidacies_, node_.log().last().term, node_.log().last().index);
+}
+
 void Replica::note_leadership_gain() {
   const bool gained = !leading_ && node_.role() == raft::Role::kLeader && node_.leads_with_committed_term();
   if (!gained) {
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -89,6 +89,7 @@
   void restore(const raft::Snapshot& snapshot);
   void note_leadership_loss();
   void note_leadership_gain();
+  void note_candidacy();
   void finish_proposal(const raft::Entry& entry, const configuration::CommandResult& result);
   void finish_confirmed_reads();
   void finish_read(raft::ReadToken token, core::Result<void> result);
@@ -111,6 +112,7 @@
   std::optional<core::Error> broken_;  ///< The state could not be loaded.
   raft::Index applied_ = 0;
   protocol::Revision told_revision_ = 0;
+  std::uint64_t told_candidacies_ = 0;
   std::uint64_t syncs_ = 0;
   raft::ReadToken next_read_ = 1;
   std::map<raft::Index, Proposal> proposals_;
--- a/src/wire/channel.cpp
+++ b/src/wire/channel.cpp
@@ -91,6 +91,12 @@
     co_return std::move(*pending->result);
   }
 
+  void connect() {
+    if (!stream_) {
+      start_connecting();
+    }
+  }
+
   void notify(MessageType type, std::string body) {
     if (stream_) {
       stream_->send({FrameKind::kNotify, 0, type, std::move(body)});
@@ -310,6 +316,7 @@
                                                   core::Duration timeout) override {
     return ChannelState::call(state_, type, std::move(body), timeout);
   }
+  void connect() override { state_->connect(); }
   void notify(MessageType type, std::string body) override { state_->notify(type, std::move(body)); }
   [[nodiscard]] std::uint64_t bytes_received() const override { return state_->counters().received; }
   [[nodiscard]] std::uint64_t bytes_sent() const override { return state_->counters().sent; }
--- a/src/wire/channel.hpp
+++ b/src/wire/channel.hpp
@@ -33,6 +33,9 @@
   /// have been handled), or the Error that the peer's handler returned.
   virtual boost::asio::awaitable<core::Result<std::string>> call(MessageType type, std::string body,
                                                                  core::Duration timeout) = 0;
+  /// Begins to connect, unless it is connected or resting after a failed attempt. One-way messages that are
+  /// sent before the connection is there are dropped.
+  virtual void connect() = 0;
   /// Sends a one-way message; dropped when not connected (a connect is then started) or the queue is full.
   virtual void notify(MessageType type, std::string body) = 0;
 
--- a/tests/wire/channel_test.cpp
+++ b/tests/wire/channel_test.cpp
@@ -159,6 +159,19 @@
   EXPECT_EQ(bodies.back(), "3");
 }
 
+TEST_F(ChannelTest, AOneWayMessageArrivesOnceTheChannelWasToldToConnect) {
+  // Bench, kcbu-counts trouble-3: the requests of the first candidate after a start only opened connections.
+  const auto unprepared = connect();
+  unprepared->notify(MessageType::kRaft, "lost");
+  const auto prepared = connect();
+  prepared->connect();
+  run_until(
+      io, [] { return false; }, milliseconds(100));
+  prepared->notify(MessageType::kRaft, "heard");
+  ASSERT_TRUE(run_until(io, [&] { return !bodies.empty(); }));
+  EXPECT_EQ(bodies, (std::vector<std::string>{"heard"}));
+}
+
 TEST_F(ChannelTest, ClosesASilentConnectionAndTakesANewOne) {
   tcp::acceptor silent(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
   std::vector<tcp::socket> accepted;
