Let child processes inherit no descriptors

Change: process::Child closes all descriptors but the standard ones on exec. Its test failed before.

--- a/src/process/child.cpp
+++ b/src/process/child.cpp
@@ -1,6 +1,7 @@
 #include "process/child.hpp"
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -40,6 +41,9 @@
     dup2(output, STDERR_FILENO);
     close(input);
     close(output);
+    // Sockets that the parent listens on would go on taking connections in its children after it has closed
+    // them.
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     execve(arguments[0], arguments, environ);
   }
   const int failure = errno;
--- a/tests/process/child_test.cpp
+++ b/tests/process/child_test.cpp
@@ -1,5 +1,6 @@
 #include "process/child.hpp"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -35,6 +36,15 @@
   EXPECT_FALSE(child.error().remedy.empty());
 }
 
+TEST(Child, InheritsNoDescriptors) {
+  const int open_here = open("/dev/null", O_RDONLY);
+  ASSERT_GT(open_here, STDERR_FILENO);
+  auto child = Child::start(shell("test ! -e /proc/self/fd/" + std::to_string(open_here)));
+  ASSERT_TRUE(child.has_value());
+  EXPECT_EQ(child.value()->wait(std::chrono::seconds(30)), 0);
+  close(open_here);
+}
+
 TEST(Child, EndsWithAParentThatIsKilled) {
   ASSERT_EQ(prctl(PR_SET_CHILD_SUBREAPER, 1), 0);
   std::array<int, 2> pipe_ends{};
