--- a/src/explain/explanation.cpp
+++ b/src/explain/explanation.cpp
@@ -95,17 +95,47 @@
   });
 }
 
-/// True when a process came to this suspicion of a database that the request was sent to. What it suspected
-/// first of a database that is silent, and took back for something worse, does not count.
-bool suspected(const std::vector<Evidence>& beliefs, std::string_view suspicion) {
-  std::map<std::pair<std::string, std::string>, std::string> last;
+/// What processes came to suspect of a database. What one suspected first of a database that is silent, and
+/// took back for something worse, does not count.
+using Suspicions = std::map<std::string, std::string>;
+
+Suspicions suspicions_of(const std::vector<Evidence>& beliefs, std::string_view database) {
+  Suspicions last;
   for (const Evidence& one : beliefs) {
-    if (one.record.event() == "suspect") {
-      last[{one.record.process, std::string(one.record.get("database"))}] = one.record.get("suspicion");
+    if (one.record.event() == "suspect" && one.record.get("database") == database) {
+      last[one.record.process] = one.record.get("suspicion");
     }
   }
-  return std::any_of(last.begin(), last.end(),
-                     [suspicion](const auto& entry) { return entry.second == suspicion; });
+  return last;
+}
+
+/// What is wrong with a database: as the request's own process saw it, or else as any other did.
+Cause cause_at(const std::vector<Evidence>& beliefs, std::string_view database, const std::string& process) {
+  const Suspicions suspicions = suspicions_of(beliefs, database);
+  const auto own = suspicions.find(process);
+  const auto is = [](const char* suspicion) {
+    return [suspicion](const auto& entry) { return entry.second == suspicion; };
+  };
+  if (own != suspicions.end()) {
+    return own->second == "replication_stalled" ? Cause::kReplicationStalled : Cause::kDatabaseUnreachable;
+  }
+  if (std::any_of(suspicions.begin(), suspicions.end(), is("replication_stalled"))) {
+    return Cause::kReplicationStalled;
+  }
+  return suspicions.empty() ? Cause::kAnswerLost : Cause::kDatabaseUnreachable;
+}
+
+/// The database of the last step that names one.
+std::string_view last_database(const std::vector<Evidence>& steps, std::string_view event = {}) {
+  std::string_view database;
+  for (const Evidence& step : steps) {
+    const std::string_view named = step.record.get("database");
+    const bool fits = event.empty() || step.record.event() == event;
+    if (fits && !named.empty() && named != "-") {
+      database = named;
+    }
+  }
+  return database;
 }
 
 /// A change of primary that was under way at some moment between the request's coming and its outcome.
@@ -127,23 +157,17 @@
   return begun && *begun <= subject.ended;
 }
 
-Cause cause_of_lost_answer(const std::vector<Evidence>& beliefs) {
-  if (suspected(beliefs, "replication_stalled")) {
-    return Cause::kReplicationStalled;
-  }
-  return suspected(beliefs, "unreachable") ? Cause::kDatabaseUnreachable : Cause::kAnswerLost;
-}
-
 /// The first cause that the lines fit, the most telling ones first.
 Cause cause_of(const std::vector<Evidence>& steps, const std::vector<Evidence>& beliefs,
                const Subject& subject) {
+  const std::string& process = steps.back().record.process;
   const std::string_view outcome = steps.back().record.get("outcome");
   if (outcome == "failed") {
     return Cause::kDatabaseFailed;
   }
   const bool lost = any_step(steps, "lost");
   if (outcome == "unsure" || (lost && outcome != "busy")) {
-    return cause_of_lost_answer(beliefs);
+    return cause_at(beliefs, last_database(steps, "lost"), process);
   }
   const bool without_database = any_step(steps, "no_backend") || any_step(steps, "no_connection") ||
                                 any_step(steps, "not_run", "read_only");
@@ -157,8 +181,8 @@
     return Cause::kReplicasBehind;
   }
   if (any_step(steps, "no_backend") || lost) {
-    return suspected(beliefs, "replication_stalled") ? Cause::kReplicationStalled
-                                                     : Cause::kDatabaseUnreachable;
+    const Cause found = cause_at(beliefs, last_database(steps), process);
+    return found == Cause::kAnswerLost ? Cause::kDatabaseUnreachable : found;
   }
   if (any_step(steps, "failed")) {
     return Cause::kDatabaseFailed;  // Reads that were read again elsewhere, too late.
--- a/tests/explain/explanation_test.cpp
+++ b/tests/explain/explanation_test.cpp
@@ -48,6 +48,27 @@
   EXPECT_EQ(cause(), Cause::kReplicationStalled);
 }
 
+TEST_F(ExplanationTest, AReadLostAtOneDatabaseIsNotBlamedOnAnother) {
+  // Bench, bmsac-archive trouble-3: a late read, cut off at a replica, was put down to the primary's
+  // receipts.
+  step(300, "event=sent database=b detail=replica");
+  step(300, "event=lost database=b detail=The_connection_was_closed.");
+  step(300, "event=sent database=a detail=primary");
+  outcome(300, "late", 300);
+  line(100, "p2", "backends: event=suspect database=a suspicion=replication_stalled");
+  line(200, "p1", "backends: event=suspect database=b suspicion=unreachable");
+  EXPECT_EQ(cause(), Cause::kDatabaseUnreachable);
+}
+
+TEST_F(ExplanationTest, ItsOwnProcessIsBelievedFirst) {
+  step(400, "event=no_connection database=a detail=The_database_can't_be_reached.");
+  step(400, "event=no_backend database=- detail=x");
+  outcome(400, "busy", 320);
+  line(100, "p2", "backends: event=suspect database=a suspicion=replication_stalled");
+  line(150, "p1", "backends: event=suspect database=a suspicion=unreachable");
+  EXPECT_EQ(cause(), Cause::kDatabaseUnreachable);
+}
+
 TEST_F(ExplanationTest, ARefusalDuringAChangeOfPrimary) {
   step(400, "event=no_backend database=- detail=x");
   outcome(400, "busy", 320);
