Soak: lose a control disk only after an earlier one has caught up

Three replicas bear one lost disk at a time, and one counts as lost until it has caught up. Ruled out: a fault of joining: with the second loss later the run passes. The product's behaviour (no leader rather than one without the log) is the wanted one. PIPITPOND_KEEP_LOGS keeps a run's logs.

--- a/tests/platform_support/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -142,6 +142,9 @@
       member.child.reset();
     }
   }
+  if (std::getenv("PIPITPOND_KEEP_LOGS") != nullptr) {
+    return;
+  }
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -78,6 +78,7 @@
   std::mt19937_64 random_;
   core::Instant begun_;
   core::Instant next_{};
+  core::Instant next_lost_disk_{};
   std::vector<Active> active_;
   std::vector<std::string> told_;
   std::uint64_t version_ = 1;
