--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -188,6 +188,7 @@
 }
 
 void ControlServer::on_configuration(const protocol::Configuration& configuration) {
+  logging::logger("control")->info("event=revision_in_force revision={}", configuration.revision);
   duties_->on_configuration(configuration);
   notices_.announce(configuration.revision);
 }
