--- /dev/null
+++ b/src/pooling/caller_session_search.cpp
@@ -0,0 +1,304 @@
+// The first statement of a caller's session, or the begin of a transaction: seeks a database that can serve
+// it, again and again within its time, and judges the answer.
+#include <algorithm>
+#include <utility>
+
+#include "pooling/caller_session.hpp"
+#include "pooling/waiting.hpp"
+
+namespace pipitpond::pooling {
+
+using boost::asio::awaitable;
+
+namespace {
+
+/// A statement that finds no database is given up after this part of its time, so that its caller has time
+/// left to come back: numerator and denominator.
+constexpr int kWaitingShareNumerator = 2;
+constexpr int kWaitingShareDenominator = 5;
+/// A read that failed at one database may still seek another one for this long.
+constexpr core::Duration kSecondSearch = std::chrono::milliseconds(150);
+/// Reads that ran and failed are run this often in all.
+constexpr std::uint32_t kReadAttempts = 3;
+/// Statements wait for a new primary while one may be expected within this time of the old one's loss.
+constexpr core::Duration kUsualPrimaryChange = std::chrono::milliseconds(3000);
+constexpr core::Duration kBusyPause = std::chrono::milliseconds(10);
+constexpr core::Duration kNoBackendPause = std::chrono::milliseconds(15);
+constexpr core::Duration kCertaintyPause = std::chrono::milliseconds(10);
+/// When a caller may come back after its statement was given up.
+constexpr core::Duration kComeBackAfter = std::chrono::milliseconds(100);
+
+std::string come_back_text(const std::string& reason) {
+  return "retry in " + std::to_string(core::to_millis(kComeBackAfter)) + " ms: " + reason;
+}
+
+core::Duration time_left(core::Instant deadline, core::Instant now) {
+  return std::max(core::Duration::zero(), deadline - now);
+}
+
+}  // namespace
+
+std::optional<CallerSession::Search> CallerSession::begin_search(Statement statement) const {
+  auto route = services_.routes.find(database_);
+  if (!route) {
+    return std::nullopt;
+  }
+  Search search;
+  const core::Duration timeout = std::chrono::milliseconds(route->timeout_ms);
+  search.started = core::BootClock::now();
+  search.trace = RequestTrace(search.started);
+  search.deadline = search.started + timeout;
+  search.stop_waiting = search.started + timeout * kWaitingShareNumerator / kWaitingShareDenominator;
+  if (route->goal_ms > 0) {
+    search.goal = search.started + std::chrono::milliseconds(route->goal_ms);
+  }
+  search.needs_primary = route->kind == protocol::RouteKind::kPrimary || may_write(statement) ||
+                         statement.kind == StatementKind::kBegin;
+  search.route = std::move(*route);
+  search.statement = std::move(statement);
+  search.last_failure = Failure{FailureCode::kBusy, "no database can serve it now"};
+  return search;
+}
+
+awaitable<StatementReply> CallerSession::run_first(Statement statement) {
+  auto search = begin_search(std::move(statement));
+  if (!search) {
+    co_return failed_reply(FailureCode::kUnknownDatabase, database_, TransactionState::kIdle);
+  }
+  StatementReply reply = co_await search_until_answered(*search);
+  write_trace(*search, reply);
+  co_return reply;
+}
+
+awaitable<StatementReply> CallerSession::search_until_answered(Search& search) {
+  while (true) {
+    auto reply = co_await attempt(search);
+    if (reply) {
+      co_return std::move(*reply);
+    }
+    const core::Instant now = core::BootClock::now();
+    // A change of primary is soon over, or takes long: waiting on helps nobody then.
+    const bool hopeless = services_.backends.without_primary(search.route.group, now) >= kUsualPrimaryChange;
+    if (now >= search.stop_waiting || hopeless) {
+      co_return give_up(search);
+    }
+    if (search.pause > core::Duration::zero()) {
+      co_await pause_for(services_.io, std::min(search.pause, search.stop_waiting - now));
+      search.pause = core::Duration::zero();
+    }
+  }
+}
+
+/// Failures, and answers that came later than the route's goal. What only the caller got wrong is not told.
+void CallerSession::write_trace(const Search& search, const StatementReply& reply) const {
+  const core::Instant now = core::BootClock::now();
+  const core::Duration goal = std::chrono::milliseconds(search.route.goal_ms);
+  const bool late = goal > core::Duration::zero() && search.trace.taken(now) > goal;
+  services_.times.observe(search.route.kind, !reply.failure, search.trace.taken(now));
+  if (!reply.failure && !late) {
+    return;
+  }
+  const TraceSubject subject{search.statement.id, search.route.name, search.route.group,
+                             services_.routes.version(), services_.backends.revision()};
+  search.trace.write(now, subject, reply);
+}
+
+StatementReply CallerSession::give_up(const Search& search) const {
+  ++services_.counters.given_up;
+  Failure failure = search.last_failure;
+  if (surely_not_run(failure.code)) {
+    failure = Failure{FailureCode::kBusy, come_back_text(failure.text)};
+  }
+  return failed_reply(failure.code, failure.text, TransactionState::kIdle);
+}
+
+BackendNeed CallerSession::need_of(const Search& search, core::Instant now) const {
+  BackendNeed need;
+  need.primary = search.needs_primary;
+  need.avoided = search.avoided;
+  if (search.route.kind == protocol::RouteKind::kPrimary) {
+    return need;
+  }
+  const core::Duration staleness = std::chrono::milliseconds(search.route.max_staleness_ms);
+  need.after = services_.backends.position_for(search.route.group, staleness, now);
+  const bool own_matters = search.route.kind == protocol::RouteKind::kSession && own_position_.has_value();
+  if (need.after && own_matters) {
+    need.after = std::max(*need.after, *own_position_);
+  }
+  return need;
+}
+
+/// Only the primary can serve a read, or begin a transaction, for which no position is known. Without a lease
+/// its answer would not be certain, and one such read at a time gives the position for all.
+const char* CallerSession::reason_to_wait(const Search& search, const BackendNeed& need, core::Instant now) {
+  if (may_write(search.statement) || need.after) {
+    return nullptr;
+  }
+  if (!services_.backends.may_trust_primaries(now)) {
+    return "the primary is not certain";
+  }
+  if (!need.primary && !services_.backends.take_position_seek(search.route.group, now)) {
+    return "another read asks for the primary's position";
+  }
+  return nullptr;
+}
+
+awaitable<std::optional<StatementReply>> CallerSession::attempt(Search& search) {
+  const core::Instant now = core::BootClock::now();
+  const BackendNeed need = need_of(search, now);
+  if (const char* reason = reason_to_wait(search, need, now)) {
+    search.trace.add(now, TraceStep{{}, TraceEvent::kWaits, {}, 0, {}, reason});
+    search.last_failure = Failure{FailureCode::kBusy, reason};
+    search.pause = kCertaintyPause;
+    co_return std::nullopt;
+  }
+  auto choice = services_.backends.choose(search.route.group, need, now);
+  if (!choice) {
+    search.trace.add(now, TraceStep{{}, TraceEvent::kNoBackend, {}, 0, {}, search.last_failure.text});
+    search.avoided.clear();
+    search.pause = kNoBackendPause;
+    co_return std::nullopt;
+  }
+  const ConnectionRequest request{search.route.priority, search.stop_waiting, &session_, search.goal};
+  auto lease = co_await services_.backends.acquire(*choice, request);
+  if (!lease) {
+    search.last_failure = Failure{FailureCode::kBusy, lease.error().message};
+    search.trace.add(core::BootClock::now(),
+                     step_at(*choice, TraceEvent::kNoConnection, lease.error().message));
+    search.avoided.insert(choice->pool->address().database);
+    search.pause = choice->is_primary ? kBusyPause : core::Duration::zero();
+    co_return std::nullopt;
+  }
+  co_return co_await attempt_at(search, std::move(*choice), std::move(lease.value()));
+}
+
+awaitable<std::optional<StatementReply>> CallerSession::attempt_at(Search& search, BackendChoice choice,
+                                                                   std::unique_ptr<StatementLease> lease) {
+  const core::Instant sent = core::BootClock::now();
+  // The wait for the connection may have been long, and may go on: what was fresh enough when the database
+  // was chosen may not be any more when the statement runs.
+  const BackendNeed need = need_of(search, sent + lease->longest_wait());
+  BackendStatement statement{search.statement, {}};
+  if (!may_write(search.statement)) {
+    statement.after = need.after;
+  }
+  TraceStep sending = step_at(choice, TraceEvent::kSent, choice.is_primary ? "primary" : "replica");
+  sending.after = statement.after;
+  search.trace.add(sent, std::move(sending));
+  auto ran = co_await lease->run(session_, std::move(statement), time_left(search.deadline, sent));
+  const core::Instant now = core::BootClock::now();
+  if (!ran) {
+    co_return on_lost(search, choice, ran.error());
+  }
+  StatementReply reply = std::move(ran.value());
+  if (reply.position) {
+    services_.backends.note_position(search.route.group, choice, sent, now, *reply.position);
+  }
+  if (reply.position && !reply.failure && may_write(search.statement)) {
+    services_.backends.note_acknowledged_write(search.route.group, choice, sent, *reply.position);
+  }
+  if (reply.failure) {
+    if (reply.failure->code == FailureCode::kNoStatement) {
+      lease->discard();  // The connection does not know a name that it was given.
+    }
+    co_return on_failure(search, choice, std::move(reply));
+  }
+  if (!may_write(search.statement) && !surely_fresh(search, choice, need, now)) {
+    search.last_failure = Failure{FailureCode::kBusy, "the primary is not certain"};
+    search.trace.add(now, step_at(choice, TraceEvent::kNotCertain, "no lease, or a newer term"));
+    search.pause = kNoBackendPause;
+    if (begins_transaction(search.statement)) {
+      lease->discard();
+    }
+    co_return std::nullopt;
+  }
+  co_return accept(search, choice, std::move(lease), std::move(reply));
+}
+
+/// A position that the database had to reach makes a read fresh, but for routes whose reads must see every
+/// write: there only the primary will do, and control's lease is what says that it still is one.
+bool CallerSession::surely_fresh(const Search& search, const BackendChoice& choice, const BackendNeed& need,
+                                 core::Instant now) const {
+  const bool by_position = search.route.kind != protocol::RouteKind::kPrimary && need.after.has_value();
+  return by_position || services_.backends.surely_primary(search.route.group, choice, now);
+}
+
+std::optional<StatementReply> CallerSession::on_lost(Search& search, const BackendChoice& choice,
+                                                     const core::Error& error) {
+  const core::Instant now = core::BootClock::now();
+  search.avoided.insert(choice.pool->address().database);
+  search.last_failure = Failure{FailureCode::kBusy, error.message};
+  search.trace.add(now, step_at(choice, TraceEvent::kLost, error.message));
+  if (error.kind == core::ErrorKind::kConnectionRefused) {
+    return std::nullopt;
+  }
+  if (may_write(search.statement)) {
+    return failed_reply(FailureCode::kUnsure, error.message, TransactionState::kIdle);
+  }
+  const bool timed_out = error.kind == core::ErrorKind::kTimeout || now >= search.deadline;
+  if (timed_out || ++search.failed_reads >= kReadAttempts) {
+    const FailureCode code = timed_out ? FailureCode::kTimeout : FailureCode::kAborted;
+    return failed_reply(code, error.message, TransactionState::kIdle);
+  }
+  ++services_.counters.retried;
+  search.stop_waiting = std::min(search.deadline, std::max(search.stop_waiting, now + kSecondSearch));
+  return std::nullopt;
+}
+
+std::optional<StatementReply> CallerSession::on_failure(Search& search, const BackendChoice& choice,
+                                                        StatementReply reply) {
+  BackendPool& pool = *choice.pool;
+  search.last_failure = *reply.failure;
+  const FailureCode code = reply.failure->code;
+  search.trace.add(
+      core::BootClock::now(),
+      step_at(choice, surely_not_run(code) ? TraceEvent::kNotRun : TraceEvent::kFailed, to_string(code)));
+  if (code == FailureCode::kBehind) {
+    pool.note_behind(core::BootClock::now());
+  }
+  if (code == FailureCode::kReadOnly && choice.is_primary) {
+    pool.health().on_refused_write();
+  }
+  if (surely_not_run(code)) {
+    ++services_.counters.retried;
+    if (choice.is_primary) {
+      search.pause = code == FailureCode::kReadOnly ? kNoBackendPause : kBusyPause;
+    } else {
+      search.avoided.insert(pool.address().database);
+    }
+    return std::nullopt;
+  }
+  const bool ran_and_failed = code == FailureCode::kFailed || code == FailureCode::kTimeout;
+  const bool again = ran_and_failed && !may_write(search.statement) && ++search.failed_reads < kReadAttempts;
+  if (again) {
+    ++services_.counters.retried;
+    search.avoided.insert(pool.address().database);
+    search.stop_waiting =
+        std::min(search.deadline, std::max(search.stop_waiting, core::BootClock::now() + kSecondSearch));
+    return std::nullopt;
+  }
+  reply.state = TransactionState::kIdle;
+  return reply;
+}
+
+StatementReply CallerSession::accept(const Search& search, const BackendChoice& choice,
+                                     std::unique_ptr<StatementLease> lease, StatementReply reply) {
+  choice.pool->note_caught_up();
+  if (may_write(search.statement)) {
+    note_own_position(reply);
+  } else if (!begins_transaction(search.statement)) {
+    ++(choice.is_primary ? services_.counters.reads_at_primaries : services_.counters.reads_at_replicas);
+  }
+  if (begins_transaction(search.statement)) {
+    transaction_.emplace(search.route, choice, std::move(lease));
+  }
+  return reply;
+}
+
+void CallerSession::note_own_position(const StatementReply& reply) {
+  if (reply.position) {
+    own_position_ = own_position_ ? std::max(*own_position_, *reply.position) : *reply.position;
+  }
+}
+
+}  // namespace pipitpond::pooling
--- a/tests/pooling/caller_session_test.cpp
+++ b/tests/pooling/caller_session_test.cpp
@@ -10,15 +10,6 @@
 
 using std::chrono::milliseconds;
 
-Statement statement(StatementKind kind, const std::string& arguments = "thing") {
-  static int number = 0;
-  Statement made;
-  made.id = core::RequestId("q" + std::to_string(++number));
-  made.kind = kind;
-  made.arguments = arguments;
-  return made;
-}
-
 class CallerSessionTest : public ::testing::Test {
  protected:
   CallerSessionTest()
@@ -58,7 +49,7 @@
   /// Gives the daemon a position of the primary.
   void learn_position() {
     CallerSession session(services_, "writes");
-    ASSERT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+    ASSERT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   }
 
   std::vector<RanStatement>& ran(const std::string& id) { return connector_.database(id).ran; }
@@ -78,7 +69,7 @@
 
 TEST_F(CallerSessionTest, AnUnknownDatabaseNameIsRefused) {
   CallerSession session(services_, "nothing");
-  const StatementReply reply = run(session, statement(StatementKind::kRead));
+  const StatementReply reply = run(session, example_statement(StatementKind::kRead));
   ASSERT_TRUE(reply.failure);
   EXPECT_EQ(reply.failure->code, FailureCode::kUnknownDatabase);
 }
@@ -86,14 +77,14 @@
 TEST_F(CallerSessionTest, ReadsOfPrimaryRoutesRunAtThePrimary) {
   learn_position();
   CallerSession session(services_, "writes");
-  EXPECT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   EXPECT_EQ(ran("a").size(), 2U);
   EXPECT_TRUE(ran("b").empty());
 }
 
 TEST_F(CallerSessionTest, ABoundedReadWithoutAKnownPositionRunsAtThePrimary) {
   CallerSession session(services_, "board");
-  EXPECT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   EXPECT_EQ(ran("a").size(), 1U);
 }
 
@@ -104,7 +95,8 @@
   std::vector<std::shared_ptr<pipitpond::testing::Pending<StatementReply>>> pending;
   for (int number = 0; number < 6; ++number) {
     sessions.push_back(std::make_unique<CallerSession>(services_, "board"));
-    pending.push_back(pipitpond::testing::start(io_, sessions.back()->run(statement(StatementKind::kRead))));
+    pending.push_back(
+        pipitpond::testing::start(io_, sessions.back()->run(example_statement(StatementKind::kRead))));
   }
   for (const auto& one : pending) {
     ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return one->done(); }));
@@ -118,7 +110,7 @@
   agent_.lease = false;
   for (const char* route : {"writes", "board", "own"}) {
     CallerSession session(services_, route);
-    EXPECT_EQ(run(session, statement(StatementKind::kRead)).failure->code, FailureCode::kBusy);
+    EXPECT_EQ(run(session, example_statement(StatementKind::kRead)).failure->code, FailureCode::kBusy);
   }
   EXPECT_TRUE(ran("a").empty());
 }
@@ -128,7 +120,7 @@
   learn_position();
   connector_.database("b").position = {1, 40};
   CallerSession session(services_, "board");
-  EXPECT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   ASSERT_EQ(ran("b").size(), 1U);
   EXPECT_EQ(ran("b")[0].after, (core::LogPosition{1, 40}));
 }
@@ -139,7 +131,7 @@
   connector_.database("b").position = {1, 39};
   connector_.database("c").position = {1, 39};
   CallerSession session(services_, "board");
-  EXPECT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   EXPECT_TRUE(ran("b").empty());
   EXPECT_TRUE(ran("c").empty());
   EXPECT_EQ(ran("a").size(), 2U);
@@ -149,16 +141,16 @@
   learn_position();
   connector_.database("b").position = {1, 10};
   CallerSession session(services_, "own");
-  ASSERT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
   const core::LogPosition written = connector_.database("a").position;
-  EXPECT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   EXPECT_TRUE(ran("b").empty()) << "the replica lacks the write";
   connector_.database("b").position = written;
   connector_.database("c").position = written;
   backends_.pools()[1]->note_caught_up();
   pipitpond::testing::run_until(
       io_, [] { return false; }, milliseconds(400));
-  EXPECT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   ASSERT_EQ(ran("b").size(), 1U);
   EXPECT_GE(*ran("b")[0].after, written);
 }
@@ -169,7 +161,7 @@
 TEST_F(CallerSessionTest, WithoutALeaseNoReadIsServedAsThePrimarys) {
   agent_.lease = false;
   CallerSession session(services_, "writes");
-  const StatementReply reply = run(session, statement(StatementKind::kRead));
+  const StatementReply reply = run(session, example_statement(StatementKind::kRead));
   ASSERT_TRUE(reply.failure);
   EXPECT_EQ(reply.failure->code, FailureCode::kBusy);
   EXPECT_NE(reply.failure->text.find("retry in"), std::string::npos);
@@ -178,7 +170,7 @@
 TEST_F(CallerSessionTest, WithoutALeasePositionsAreNotTakenOver) {
   CallerSession session(services_, "writes");
   agent_.lease = false;
-  run(session, statement(StatementKind::kRead));
+  run(session, example_statement(StatementKind::kRead));
   EXPECT_FALSE(backends_.position_for(core::GroupName("g"), milliseconds(1500), core::BootClock::now()));
 }
 
@@ -186,10 +178,10 @@
   // Bench, kcbu-counts trouble-1: proxies cut off from control refused bounded reads for 6 s.
   agent_.lease = false;
   CallerSession writer(services_, "writes");
-  ASSERT_FALSE(run(writer, statement(StatementKind::kWrite, "thing data")).failure);
+  ASSERT_FALSE(run(writer, example_statement(StatementKind::kWrite, "thing data")).failure);
   connector_.database("b").position = connector_.database("a").position;
   CallerSession session(services_, "board");
-  EXPECT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   ASSERT_EQ(ran("b").size(), 1U);
   EXPECT_EQ(ran("b")[0].after, connector_.database("a").position);
 }
@@ -205,13 +197,13 @@
       io_, [] { return false; }, milliseconds(100));
   const core::Instant begun = core::BootClock::now();
   CallerSession session(services_, "own");
-  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
-  ASSERT_FALSE(run(session, statement(StatementKind::kCommit, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kCommit, "")).failure);
   EXPECT_FALSE(known_since(begun));
-  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
-  ASSERT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
   EXPECT_FALSE(known_since(begun)) << "nothing is acknowledged before the commit";
-  ASSERT_FALSE(run(session, statement(StatementKind::kCommit, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kCommit, "")).failure);
   EXPECT_EQ(known_since(begun), connector_.database("a").position);
 }
 
@@ -222,14 +214,14 @@
   apply();
   agent_.lease = false;
   CallerSession session(services_, "writes");
-  ASSERT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
   EXPECT_FALSE(backends_.position_for(core::GroupName("g"), milliseconds(1500), core::BootClock::now()));
 }
 
 TEST_F(CallerSessionTest, AReadThatIsAnsweredAfterItsPrimaryWasReplacedRunsAgain) {
   connector_.database("a").work = milliseconds(60);
   CallerSession session(services_, "writes");
-  const auto pending = pipitpond::testing::start(io_, session.run(statement(StatementKind::kRead)));
+  const auto pending = pipitpond::testing::start(io_, session.run(example_statement(StatementKind::kRead)));
   pipitpond::testing::run_until(
       io_, [] { return false; }, milliseconds(20));
   change_primary("");
@@ -243,7 +235,7 @@
 TEST_F(CallerSessionTest, WritesNeedNoLease) {
   agent_.lease = false;
   CallerSession session(services_, "writes");
-  EXPECT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
 }
 
 // --- What is known of failures
@@ -252,7 +244,7 @@
 TEST_F(CallerSessionTest, AWriteWhoseAnswerIsLostIsUnsureAndNeverRepeated) {
   connector_.database("a").break_after_running = true;
   CallerSession session(services_, "writes");
-  const StatementReply reply = run(session, statement(StatementKind::kWrite, "thing data"));
+  const StatementReply reply = run(session, example_statement(StatementKind::kWrite, "thing data"));
   ASSERT_TRUE(reply.failure);
   EXPECT_EQ(reply.failure->code, FailureCode::kUnsure);
   EXPECT_EQ(ran("a").size(), 1U);
@@ -261,14 +253,14 @@
 TEST_F(CallerSessionTest, AWriteThatWasNotRunIsTriedAgain) {
   connector_.database("a").next_failures = {FailureCode::kBusy, FailureCode::kBusy};
   CallerSession session(services_, "writes");
-  EXPECT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
   EXPECT_EQ(ran("a").size(), 1U);
 }
 
 TEST_F(CallerSessionTest, AWriteThatRanAndFailedIsNotTriedAgain) {
   connector_.database("a").next_failures = {FailureCode::kFailed};
   CallerSession session(services_, "writes");
-  const StatementReply reply = run(session, statement(StatementKind::kWrite, "thing data"));
+  const StatementReply reply = run(session, example_statement(StatementKind::kWrite, "thing data"));
   ASSERT_TRUE(reply.failure);
   EXPECT_EQ(reply.failure->code, FailureCode::kFailed);
   EXPECT_TRUE(ran("a").empty());
@@ -278,7 +270,7 @@
   learn_position();
   connector_.database("b").break_after_running = true;
   CallerSession session(services_, "board");
-  EXPECT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   EXPECT_EQ(ran("b").size(), 1U);
   EXPECT_EQ(ran("a").size() + ran("c").size(), 2U)
       << "the first read of the position, and the second attempt";
@@ -288,7 +280,7 @@
   change_primary("");
   CallerSession session(services_, "writes");
   const core::Instant before = core::BootClock::now();
-  const StatementReply reply = run(session, statement(StatementKind::kWrite, "thing data"));
+  const StatementReply reply = run(session, example_statement(StatementKind::kWrite, "thing data"));
   ASSERT_TRUE(reply.failure);
   EXPECT_EQ(reply.failure->code, FailureCode::kBusy);
   EXPECT_NE(reply.failure->text.find("retry in"), std::string::npos);
@@ -299,7 +291,7 @@
   change_primary("");
   CallerSession session(services_, "writes");
   const auto pending =
-      pipitpond::testing::start(io_, session.run(statement(StatementKind::kWrite, "thing data")));
+      pipitpond::testing::start(io_, session.run(example_statement(StatementKind::kWrite, "thing data")));
   pipitpond::testing::run_until(
       io_, [] { return false; }, milliseconds(50));
   change_primary("c");
@@ -314,10 +306,10 @@
 TEST_F(CallerSessionTest, ATransactionKeepsItsConnection) {
   CallerSession session(services_, "writes");
   CallerSession other(services_, "writes");
-  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
-  ASSERT_FALSE(run(other, statement(StatementKind::kRead)).failure);
-  ASSERT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
-  ASSERT_FALSE(run(session, statement(StatementKind::kCommit, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(other, example_statement(StatementKind::kRead)).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kCommit, "")).failure);
   const auto& all = ran("a");
   ASSERT_EQ(all.size(), 4U);
   EXPECT_EQ(all[0].connection, all[2].connection);
@@ -328,21 +320,21 @@
 TEST_F(CallerSessionTest, AStatementOfATransactionThatAFullDatabaseDidNotRunIsTriedAgain) {
   // Bench, kcbu-counts scale-2: 227 transactions were lost in 6 s to a primary without a free slot.
   CallerSession session(services_, "writes");
-  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
   connector_.database("a").next_failures = {FailureCode::kBusy, FailureCode::kBusy};
-  EXPECT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
   connector_.database("a").next_failures = {FailureCode::kBusy};
-  EXPECT_FALSE(run(session, statement(StatementKind::kCommit, "")).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kCommit, "")).failure);
   EXPECT_EQ(ran("a").size(), 3U);
   EXPECT_EQ(session.state(), TransactionState::kIdle);
 }
 
 TEST_F(CallerSessionTest, AStatementOfATransactionIsNotTriedForItsWholeTime) {
   CallerSession session(services_, "writes");
-  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
   connector_.database("a").next_failures.assign(1000, FailureCode::kBusy);
   const core::Instant begun = core::BootClock::now();
-  const StatementReply reply = run(session, statement(StatementKind::kWrite, "thing data"));
+  const StatementReply reply = run(session, example_statement(StatementKind::kWrite, "thing data"));
   ASSERT_TRUE(reply.failure);
   EXPECT_EQ(reply.failure->code, FailureCode::kBusy);
   EXPECT_LT(core::BootClock::now() - begun, milliseconds(250));
@@ -350,10 +342,10 @@
 
 TEST_F(CallerSessionTest, ACommitWhoseAnswerIsLostIsUnsure) {
   CallerSession session(services_, "writes");
-  run(session, statement(StatementKind::kBegin, ""));
-  run(session, statement(StatementKind::kWrite, "thing data"));
+  run(session, example_statement(StatementKind::kBegin, ""));
+  run(session, example_statement(StatementKind::kWrite, "thing data"));
   connector_.database("a").break_after_running = true;
-  const StatementReply reply = run(session, statement(StatementKind::kCommit, ""));
+  const StatementReply reply = run(session, example_statement(StatementKind::kCommit, ""));
   ASSERT_TRUE(reply.failure);
   EXPECT_EQ(reply.failure->code, FailureCode::kUnsure);
   EXPECT_EQ(session.state(), TransactionState::kIdle);
@@ -361,25 +353,25 @@
 
 TEST_F(CallerSessionTest, ATransactionWhoseConnectionIsLostBeforeItsCommitIsAborted) {
   CallerSession session(services_, "writes");
-  run(session, statement(StatementKind::kBegin, ""));
+  run(session, example_statement(StatementKind::kBegin, ""));
   connector_.database("a").break_after_running = true;
-  const StatementReply lost = run(session, statement(StatementKind::kWrite, "thing data"));
+  const StatementReply lost = run(session, example_statement(StatementKind::kWrite, "thing data"));
   ASSERT_TRUE(lost.failure);
   EXPECT_EQ(lost.failure->code, FailureCode::kAborted);
   EXPECT_EQ(session.state(), TransactionState::kFailed);
-  EXPECT_EQ(run(session, statement(StatementKind::kRead)).failure->code, FailureCode::kBad);
-  EXPECT_EQ(run(session, statement(StatementKind::kCommit, "")).failure->code, FailureCode::kAborted);
+  EXPECT_EQ(run(session, example_statement(StatementKind::kRead)).failure->code, FailureCode::kBad);
+  EXPECT_EQ(run(session, example_statement(StatementKind::kCommit, "")).failure->code, FailureCode::kAborted);
   EXPECT_EQ(session.state(), TransactionState::kIdle);
 }
 
 TEST_F(CallerSessionTest, ATransactionWhoseCallerRestsTooLongIsEnded) {
   CallerSession session(services_, "writes");
-  run(session, statement(StatementKind::kBegin, ""));
+  run(session, example_statement(StatementKind::kBegin, ""));
   session.end_transaction_when_idle(core::BootClock::now());
   EXPECT_EQ(session.state(), TransactionState::kOpen);
   session.end_transaction_when_idle(core::BootClock::now() + milliseconds(250));
   EXPECT_EQ(session.state(), TransactionState::kFailed);
-  const StatementReply reply = run(session, statement(StatementKind::kCommit, ""));
+  const StatementReply reply = run(session, example_statement(StatementKind::kCommit, ""));
   EXPECT_EQ(reply.failure->code, FailureCode::kAborted);
   EXPECT_EQ(backends_.pools()[0]->in_use(), 0U);
 }
@@ -387,10 +379,10 @@
 TEST_F(CallerSessionTest, ASessionThatEndsInATransactionGivesNoOpenConnectionBack) {
   {
     CallerSession session(services_, "writes");
-    run(session, statement(StatementKind::kBegin, ""));
+    run(session, example_statement(StatementKind::kBegin, ""));
   }
   CallerSession next(services_, "writes");
-  run(next, statement(StatementKind::kRead));
+  run(next, example_statement(StatementKind::kRead));
   EXPECT_EQ(ran("a").back().connection, 2);
 }
 
@@ -400,19 +392,19 @@
 TEST_F(CallerSessionTest, SharedConnectionsTakeEachSessionsValues) {
   CallerSession one(services_, "writes");
   CallerSession other(services_, "writes");
-  Statement set = statement(StatementKind::kSetValue, "north");
+  Statement set = example_statement(StatementKind::kSetValue, "north");
   set.name = "zone";
   EXPECT_FALSE(run(one, set).failure);
-  EXPECT_FALSE(run(one, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(one, example_statement(StatementKind::kRead)).failure);
   EXPECT_EQ(ran("a").back().values, (std::map<std::string, std::string>{{"zone", "north"}}));
-  EXPECT_FALSE(run(other, statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(other, example_statement(StatementKind::kRead)).failure);
   EXPECT_TRUE(ran("a").back().values.empty());
   EXPECT_EQ(connector_.database("a").connections_opened, 1);
 }
 
 TEST_F(CallerSessionTest, AnUnknownPreparedNameIsRefusedHere) {
   CallerSession session(services_, "writes");
-  Statement executed = statement(StatementKind::kExecute);
+  Statement executed = example_statement(StatementKind::kExecute);
   executed.name = "s1";
   EXPECT_EQ(run(session, executed).failure->code, FailureCode::kNoStatement);
 }
@@ -420,10 +412,10 @@
 TEST_F(CallerSessionTest, APreparedReadMayRunAtAReplica) {
   learn_position();
   CallerSession session(services_, "board");
-  Statement prepare = statement(StatementKind::kPrepare, "shape");
+  Statement prepare = example_statement(StatementKind::kPrepare, "shape");
   prepare.name = "s1";
   EXPECT_FALSE(run(session, prepare).failure);
-  Statement executed = statement(StatementKind::kExecute);
+  Statement executed = example_statement(StatementKind::kExecute);
   executed.name = "s1";
   EXPECT_FALSE(run(session, executed).failure);
   ASSERT_EQ(ran("b").size(), 2U);
--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -207,6 +207,16 @@
   ownership::OwnerTable owners_;
 };
 
+/// A statement with an id of its own.
+inline Statement example_statement(StatementKind kind, const std::string& arguments = "thing") {
+  static int number = 0;
+  Statement made;
+  made.id = core::RequestId("q" + std::to_string(++number));
+  made.kind = kind;
+  made.arguments = arguments;
+  return made;
+}
+
 /// A group "g" of the databases a (primary), b and c, routes "writes" (primary), "board" (bounded, 1,500 ms)
 /// and "own" (session, 2,500 ms), and one daemon "d".
 inline protocol::Configuration example_configuration() {
--- a/tests/pooling/statement_forward_test.cpp
+++ b/tests/pooling/statement_forward_test.cpp
@@ -13,15 +13,6 @@
 
 using std::chrono::milliseconds;
 
-Statement statement(StatementKind kind, const std::string& arguments = "thing") {
-  static int number = 0;
-  Statement made;
-  made.id = core::RequestId("f" + std::to_string(++number));
-  made.kind = kind;
-  made.arguments = arguments;
-  return made;
-}
-
 /// One daemon's parts.
 struct DaemonParts {
   DaemonParts(boost::asio::io_context& io, const std::string& name, const std::string& zone)
@@ -113,7 +104,7 @@
 
 TEST_F(StatementForwardTest, AStatementRunsOnAnOwnersConnection) {
   CallerSession session(asking_.services, "writes");
-  const StatementReply reply = run(session, statement(StatementKind::kWrite, "thing data"));
+  const StatementReply reply = run(session, example_statement(StatementKind::kWrite, "thing data"));
   EXPECT_FALSE(reply.failure);
   EXPECT_EQ(reply.signature, "signed");
   EXPECT_EQ(reply.position, owner_.connector.database("a").position);
@@ -125,11 +116,11 @@
 TEST_F(StatementForwardTest, ATransactionKeepsOneConnectionOfTheOwner) {
   CallerSession session(asking_.services, "writes");
   CallerSession other(asking_.services, "writes");
-  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
-  ASSERT_FALSE(run(other, statement(StatementKind::kRead)).failure);
-  ASSERT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(other, example_statement(StatementKind::kRead)).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
   EXPECT_EQ(service_.in_progress(), 1U);
-  ASSERT_FALSE(run(session, statement(StatementKind::kCommit, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kCommit, "")).failure);
   ASSERT_EQ(ran().size(), 4U);
   EXPECT_EQ(ran()[0].connection, ran()[2].connection);
   EXPECT_EQ(ran()[0].connection, ran()[3].connection);
@@ -139,26 +130,26 @@
 
 TEST_F(StatementForwardTest, SessionValuesAndPreparedShapesGoAlong) {
   CallerSession session(asking_.services, "writes");
-  Statement set = statement(StatementKind::kSetValue, "north");
+  Statement set = example_statement(StatementKind::kSetValue, "north");
   set.name = "zone";
   ASSERT_FALSE(run(session, set).failure);
-  Statement prepare = statement(StatementKind::kPrepare, "shape");
+  Statement prepare = example_statement(StatementKind::kPrepare, "shape");
   prepare.name = "s1";
   ASSERT_FALSE(run(session, prepare).failure);
-  Statement executed = statement(StatementKind::kExecute);
+  Statement executed = example_statement(StatementKind::kExecute);
   executed.name = "s1";
   ASSERT_FALSE(run(session, executed).failure);
   EXPECT_EQ(ran().back().kind, StatementKind::kExecute);
   EXPECT_EQ(ran().back().values, (std::map<std::string, std::string>{{"zone", "north"}}));
   CallerSession other(asking_.services, "writes");
-  ASSERT_FALSE(run(other, statement(StatementKind::kRead)).failure);
+  ASSERT_FALSE(run(other, example_statement(StatementKind::kRead)).failure);
   EXPECT_TRUE(ran().back().values.empty());
 }
 
 TEST_F(StatementForwardTest, AWriteWhoseAnswerIsLostBehindTheOwnerIsUnsureAndNeverRepeated) {
   owner_.connector.database("a").break_after_running = true;
   CallerSession session(asking_.services, "writes");
-  const StatementReply reply = run(session, statement(StatementKind::kWrite, "thing data"));
+  const StatementReply reply = run(session, example_statement(StatementKind::kWrite, "thing data"));
   ASSERT_TRUE(reply.failure);
   EXPECT_EQ(reply.failure->code, FailureCode::kUnsure);
   EXPECT_EQ(ran().size(), 1U);
@@ -166,11 +157,11 @@
 
 TEST_F(StatementForwardTest, AWriteThatASilentOwnerHoldsIsUnsureAndRunsOnceAtMost) {
   CallerSession session(asking_.services, "writes");
-  ASSERT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   frozen_ = true;
   const core::Instant begun = core::BootClock::now();
   const auto pending =
-      pipitpond::testing::start(io_, session.run(statement(StatementKind::kWrite, "thing data")));
+      pipitpond::testing::start(io_, session.run(example_statement(StatementKind::kWrite, "thing data")));
   ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] {
     asking_.backends.tick(core::BootClock::now());
     return pending->done();
@@ -186,9 +177,9 @@
 TEST_F(StatementForwardTest, AReadThatASilentOwnerHoldsIsServedOtherwise) {
   asking_.connector.database("a").primary = true;
   CallerSession session(asking_.services, "writes");
-  ASSERT_FALSE(run(session, statement(StatementKind::kRead)).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   frozen_ = true;
-  const auto pending = pipitpond::testing::start(io_, session.run(statement(StatementKind::kRead)));
+  const auto pending = pipitpond::testing::start(io_, session.run(example_statement(StatementKind::kRead)));
   ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] {
     asking_.backends.tick(core::BootClock::now());
     return pending->done();
@@ -201,7 +192,7 @@
   asking_.connector.database("a").primary = true;
   service_.refuse_new();
   CallerSession session(asking_.services, "writes");
-  EXPECT_FALSE(run(session, statement(StatementKind::kWrite, "thing data")).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
   EXPECT_TRUE(ran().empty());
   EXPECT_EQ(own_connections(), 1);
 }
@@ -209,33 +200,33 @@
 TEST_F(StatementForwardTest, ATransactionThatIsGivenUpIsEndedAtTheOwner) {
   {
     CallerSession session(asking_.services, "writes");
-    ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+    ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
     ASSERT_EQ(service_.in_progress(), 1U);
   }
   EXPECT_TRUE(pipitpond::testing::run_until(io_, [&] { return service_.in_progress() == 0; }));
   CallerSession next(asking_.services, "writes");
-  ASSERT_FALSE(run(next, statement(StatementKind::kRead)).failure);
+  ASSERT_FALSE(run(next, example_statement(StatementKind::kRead)).failure);
   EXPECT_EQ(ran().back().connection, 2) << "the connection of the open transaction was closed";
 }
 
 TEST_F(StatementForwardTest, ATransactionWhoseDaemonIsLostIsEnded) {
   CallerSession session(asking_.services, "writes");
-  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
   service_.end_idle_transactions(core::BootClock::now() + milliseconds(300), milliseconds(200));
   EXPECT_EQ(service_.in_progress(), 1U) << "its own daemon ends it first";
   service_.end_idle_transactions(core::BootClock::now() + milliseconds(800), milliseconds(200));
   EXPECT_EQ(service_.in_progress(), 0U);
-  const StatementReply reply = run(session, statement(StatementKind::kCommit, ""));
+  const StatementReply reply = run(session, example_statement(StatementKind::kCommit, ""));
   ASSERT_TRUE(reply.failure);
   EXPECT_EQ(reply.failure->code, FailureCode::kAborted);
 }
 
 TEST_F(StatementForwardTest, ATransactionIsKnownOnlyToTheConnectionThatBeganIt) {
   CallerSession session(asking_.services, "writes");
-  ASSERT_FALSE(run(session, statement(StatementKind::kBegin, "")).failure);
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
   ForwardedStatement forged;
   forged.database = core::DatabaseId("a");
-  forged.statement = statement(StatementKind::kWrite, "thing data");
+  forged.statement = example_statement(StatementKind::kWrite, "thing data");
   forged.timeout_ms = 100;
   for (ForwardedTransaction guess = 1; guess < 50; ++guess) {
     forged.transaction = guess;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -26,8 +26,8 @@
 
 /// A folder of its own for each run's fault proxy.
 std::filesystem::path run_folder(std::uint64_t seed) {
-  const auto folder = std::filesystem::temp_directory_path() /
-                      ("pipitpond-soak-" + std::to_string(getpid()) + "-" + std::to_string(seed));
+  std::filesystem::path folder = std::filesystem::temp_directory_path() /
+                                 ("pipitpond-soak-" + std::to_string(getpid()) + "-" + std::to_string(seed));
   std::filesystem::create_directories(folder);
   return folder;
 }
