Ignore hang-ups from a daemon's first moment

Change: run_daemon ignores SIGHUP before it reads the settings; a file that changes later is noticed by itself. The soak starts again what ended by itself, as any supervisor does, and tells of it.

--- a/src/runtime/program.cpp
+++ b/src/runtime/program.cpp
@@ -193,13 +193,15 @@
 
 int run_daemon(int argc, char** argv, const settings::Program& program, settings::Section& section,
                const Start& start) {
+  // From the first moment: whoever changes the settings does not know how far this process has come. They are
+  // read below, and a later change of the file is noticed by itself.
+  std::signal(SIGHUP, SIG_IGN);
   if (const auto exit_code = load_settings(argc, argv, program, section)) {
     return *exit_code;
   }
   logging::use_standard_output();
   raise_open_file_limit();
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // Until the daemon has started: the settings have just been read.
   const auto log = logging::logger("runtime");
   asio::io_context io(1);
   auto started = start(io);
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -18,6 +18,7 @@
 /// A replica that lost its disk counts as lost for so long after its return: another lost disk before that
 /// would be one more than three replicas bear.
 constexpr auto kCatchUp = std::chrono::seconds(6);
+constexpr auto kSupervisorInterval = milliseconds(300);
 constexpr auto kStopLimit = std::chrono::seconds(10);
 constexpr auto kDeathLimit = std::chrono::seconds(5);
 
@@ -86,17 +87,41 @@
     active->end();
     active = active_.erase(active);
   }
+  restart_ended(now);
   if (now >= next_ && active_.size() < kMostAtOnce) {
     begin(now);
     next_ = now + milliseconds(200 + draw(900));
   }
 }
 
+/// What ends by itself is started again a little later, as any supervisor does.
+void SoakFaults::restart_ended(core::Instant now) {
+  if (now < next_look_) {
+    return;
+  }
+  next_look_ = now + kSupervisorInterval;
+  for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
+    const std::string subject = "proxy " + std::to_string(number);
+    if (!is_hit(subject) && !fleet_.proxy(number).running()) {
+      told_.push_back(subject + " had ended by itself");
+      restart_proxy(number);
+    }
+  }
+  for (std::size_t number = 0; number < fleet_.controls(); ++number) {
+    const std::string subject = "control " + std::to_string(number);
+    if (!any_control_hit() && !fleet_.control(number).running()) {
+      told_.push_back(subject + " had ended by itself");
+      restart_control(number);
+    }
+  }
+}
+
 void SoakFaults::heal() {
   for (const Active& active : active_) {
     active.end();
   }
   active_.clear();
+  restart_ended(core::Instant::max() - kSupervisorInterval);
 }
 
 void SoakFaults::add(core::Instant now, const std::string& subject, const std::string& what,
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -56,6 +56,7 @@
     std::function<void()> end;
   };
 
+  void restart_ended(core::Instant now);
   void begin(core::Instant now);
   void add(core::Instant now, const std::string& subject, const std::string& what, std::function<void()> end);
   [[nodiscard]] bool is_hit(const std::string& subject) const;
@@ -79,6 +80,7 @@
   core::Instant begun_;
   core::Instant next_{};
   core::Instant next_lost_disk_{};
+  core::Instant next_look_{};
   std::vector<Active> active_;
   std::vector<std::string> told_;
   std::uint64_t version_ = 1;
