--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -35,8 +35,8 @@
   bool refuses_connections = false;
   int connections_opened = 0;
   int max_connections = 100;
-  int open_connections = 0;
-  core::Duration work{};                   ///< Of each batch.
+  std::shared_ptr<int> open_connections = std::make_shared<int>(0);  ///< Outlives the database, as they may.
+  core::Duration work{};                                             ///< Of each batch.
   bool silent = false;                     ///< Batches get no answer until their time-out.
   std::vector<FailureCode> next_failures;  ///< Of the next statements of callers.
   bool break_after_running = false;        ///< The next batch runs, and its connection breaks.
@@ -47,10 +47,10 @@
 class FakeConnection : public BackendConnection {
  public:
   FakeConnection(boost::asio::io_context& io, FakeDatabase& database, int number)
-      : io_(io), database_(database), number_(number) {
-    ++database_.open_connections;
+      : io_(io), database_(database), open_connections_(database.open_connections), number_(number) {
+    ++*open_connections_;
   }
-  ~FakeConnection() override { --database_.open_connections; }
+  ~FakeConnection() override { --*open_connections_; }
   FakeConnection(const FakeConnection&) = delete;
   FakeConnection& operator=(const FakeConnection&) = delete;
 
@@ -144,6 +144,7 @@
 
   boost::asio::io_context& io_;
   FakeDatabase& database_;
+  std::shared_ptr<int> open_connections_;
   int number_ = 0;
   bool open_ = true;
   bool in_transaction_ = false;
@@ -161,7 +162,7 @@
     if (found.refuses_connections) {
       co_return core::fail(core::ErrorKind::kConnectionRefused, "Refused.", "Choose another database.");
     }
-    if (found.open_connections >= found.max_connections) {
+    if (*found.open_connections >= found.max_connections) {
       co_return core::fail(core::ErrorKind::kOverloaded, "Too many connections.", "Try again.");
     }
     co_return std::make_unique<FakeConnection>(io_, found, ++found.connections_opened);
