Offer a statement to further owners only while its position still holds

Cause: found by the last read of the change: an owner that refuses slowly (a connect of up to 400 ms) was followed by another one with the position that the read had been given for 180 ms of waiting, so that a bounded read could run on a log older than its bound. Ruled out: the same for writes and transactions (they carry no position). Dead code of the soak's judge call is gone.

--- a/src/pooling/statement_forwarder.cpp
+++ b/src/pooling/statement_forwarder.cpp
@@ -85,14 +85,17 @@
   }
 
  private:
-  /// Only owners that did not run the statement are followed by another one.
+  /// Only owners that did not run the statement are followed by another one, and only within longest_wait:
+  /// the position that a read must reach was chosen for no longer. After it, whoever asked chooses anew.
   awaitable<core::Result<StatementReply>> offer_to_owners(ForwardedStatement message, core::Instant give_up) {
+    const core::Instant stop_offering =
+        std::min(give_up, core::BootClock::now() + kFirstOwnersWait * (kOwnersTried - 1));
     std::vector<core::DaemonId> tried;
     core::Error last = not_run("No daemon that owns connections to the database can be reached.");
     while (std::ssize(tried) < kOwnersTried) {
       const core::Instant now = core::BootClock::now();
       link_ = forwarder_.choose(owners_, tried, pool_->zone(), now);
-      if (!link_ || now >= give_up) {
+      if (!link_ || now > stop_offering) {
         break;
       }
       tried.push_back(link_->daemon);
--- a/tests/pooling/statement_forward_test.cpp
+++ b/tests/pooling/statement_forward_test.cpp
@@ -75,6 +75,11 @@
 
   boost::asio::awaitable<core::Result<std::string>> handle(wire::PeerId peer, wire::MessageType type,
                                                            std::string body) {
+    if (slow_refusal_ && type == wire::MessageType::kStatement) {
+      ++refused_;
+      co_await pause_for(io_, milliseconds(150));
+      co_return core::fail(core::ErrorKind::kUnavailable, "Not run.", "Ask another owner.");
+    }
     if (frozen_) {
       co_await pause_for(io_, std::chrono::seconds(2));
     }
@@ -99,6 +104,8 @@
   ForwardService service_;
   protocol::Configuration configuration_;
   bool frozen_ = false;
+  bool slow_refusal_ = false;
+  int refused_ = 0;
   std::unique_ptr<wire::Server> server_;
 };
 
@@ -238,6 +245,32 @@
   EXPECT_EQ(ran().size(), 1U);
 }
 
+TEST_F(StatementForwardTest, AfterASlowRefusalNoOtherOwnerGetsTheOldPosition) {
+  // Both owners are behind the same server here.
+  protocol::Configuration two_owners = configuration_;
+  protocol::Daemon second = two_owners.daemons.at(core::DaemonId("owner"));
+  second.id = core::DaemonId("owner-2");
+  two_owners.daemons[second.id] = second;
+  two_owners.daemons.at(core::DaemonId("asking")).state = protocol::DaemonState::kLeaving;  // Owns nothing.
+  for (protocol::Database& database : two_owners.groups.begin()->second.databases) {
+    database.max_owners = 2;
+  }
+  asking_.apply(two_owners);
+  slow_refusal_ = true;
+  const auto choice =
+      asking_.backends.choose(core::GroupName("g"), BackendNeed{true, {}, {}}, core::BootClock::now());
+  ASSERT_TRUE(choice);
+  const ConnectionRequest request{1, core::BootClock::now() + milliseconds(500), nullptr};
+  auto lease = pipitpond::testing::run(io_, asking_.backends.acquire(*choice, request));
+  ASSERT_TRUE(lease);
+  const SessionState session;
+  BackendStatement read{example_statement(StatementKind::kRead), core::LogPosition{1, 5}};
+  const auto ran = pipitpond::testing::run(io_, lease.value()->run(session, read, milliseconds(1000)));
+  ASSERT_FALSE(ran);
+  EXPECT_EQ(ran.error().kind, core::ErrorKind::kConnectionRefused) << "whoever asked may choose anew";
+  EXPECT_EQ(refused_, 1);
+}
+
 TEST_F(StatementForwardTest, AMalformedStatementIsRefused) {
   const auto answer =
       pipitpond::testing::run(io_, service_.handle(1, wire::MessageType::kStatement, "\x93nonsense"));
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -92,7 +92,6 @@
     }
     std::erase_if(operations, [](const Operation& operation) { return operation.statements.empty(); });
     operations_ = operations.size();
-    operations.push_back(Operation{0, Route::kWrites, probes_});
     DatabasesEnd end;
     end.log = fleet_.service().primary()->log();
     for (std::size_t number = 0; number < kDatabases; ++number) {
@@ -105,7 +104,6 @@
     for (platform_stage::Commit& commit : end.log) {
       std::erase_if(commit.writes, [&](const auto& write) { return own(write.request); });
     }
-    operations.pop_back();
     return judge(operations, end);
   }
 
@@ -148,7 +146,6 @@
       callers_;  ///< Outlive the fleet's io_context and their coroutines in it.
   platform::PlatformFleet fleet_;
   SoakFaults faults_;
-  std::vector<AskedStatement> probes_;
   std::size_t operations_ = 0;
 };
 
