--- a/src/pooling/connection_share.cpp
+++ b/src/pooling/connection_share.cpp
@@ -13,6 +13,10 @@
 constexpr std::uint32_t kMostPart = 4;
 /// Beyond one connection for each slot, only resting transactions need more.
 constexpr std::uint32_t kForRestingTransactions = 2;
+/// Of all connections, this part may be kept idle: numerator and denominator. A database counts the
+/// connections of machines that lost power for seconds; their successors need room beside them.
+constexpr std::uint32_t kKeptNumerator = 2;
+constexpr std::uint32_t kKeptDenominator = 3;
 /// What a new connection is taken to cost: a slot for this long.
 constexpr core::Duration kOpeningTime = std::chrono::milliseconds(30);
 /// One part in so many of the slots' time may go to connections opened ahead of demand.
@@ -26,7 +30,7 @@
   ConnectionShare share;
   share.warm_up_interval = kOpeningTime * sharers * kWarmUpPart / std::max(capacity.slots, 1U);
   if (equal_part >= kEnoughConnections) {
-    share.kept = equal_part;
+    share.kept = std::max(capacity.connections * kKeptNumerator / kKeptDenominator / sharers, 1U);
     share.most = equal_part;
     return share;
   }
