--- a/tests/raft/node_test.cpp
+++ b/tests/raft/node_test.cpp
@@ -120,6 +120,19 @@
   EXPECT_EQ(cluster.at(replica(1)).applied, (std::vector<std::string>{"a", "b"}));
 }
 
+TEST(Node, ARestartedReplicaAppliesAllButTheNewestBatchBeforeItHearsOfALeader) {
+  // Bench, kerbrat-pieces trouble-2: after a loss of power no replica could tell daemons anything until one
+  // led.
+  Cluster cluster(3);
+  ASSERT_TRUE(cluster.commit("a"));
+  ASSERT_TRUE(cluster.commit("b"));
+  const auto follower = other_than(cluster.leader()->config().id);
+  cluster.cut(follower);
+  cluster.restart(follower);
+  cluster.run_for(milliseconds(20));
+  EXPECT_EQ(cluster.at(follower).applied, (std::vector<std::string>{"a"}));
+}
+
 TEST(Node, FollowerFarBehindGetsASnapshot) {
   Cluster cluster(3);
   ASSERT_TRUE(cluster.commit("a"));
