--- a/tools/platform_stage/database.cpp
+++ b/tools/platform_stage/database.cpp
@@ -221,8 +221,7 @@
     if (word == "HOLD") {
       held_term_ = term;
     } else {
-      primary_ = false;
-      held_term_ = term;
+      primary_ = false;  // It may receive from now on: the pages don't say that it is held.
     }
     return status_row() + ready(session);
   }
