Let a control replica wait for room on a full disk instead of ending

Ruled out: going on without the write (it would promise what is not durable); stepping down by a message (that needs a write, too). Change: a full disk is an error of its own kind; an append that was cut short is taken back; the replica keeps what it could not write, sends and takes nothing, leads nothing, and tries again each 0.1 s. A failed sync still ends the process. Tests play each amount of room up to 700 bytes, with and without a crash, and a full disk of a leader and of a follower.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -20,6 +20,8 @@
 /// Between looks at whether all other members are connected.
 constexpr core::Duration kConnectInterval = std::chrono::milliseconds(50);
 constexpr core::Duration kJoinInterval = std::chrono::milliseconds(300);
+/// Between attempts to start on a disk without room.
+constexpr core::Duration kFullDiskRetryAtStart = std::chrono::milliseconds(500);
 constexpr core::Duration kHandOverLimit = std::chrono::seconds(3);
 constexpr core::Duration kFinishLimit = std::chrono::seconds(5);
 constexpr core::Duration kStopPoll = std::chrono::milliseconds(20);
@@ -83,6 +85,11 @@
   auto disk = co_await start_disk(options_, peers_);
   if (!disk) {
     co_return disk.error();
+  while (!disk && disk.error().kind == core::ErrorKind::kNoCapacity) {
+    logging::logger("control")->error("event=disk_full_at_start {}", core::describe(disk.error()));
+    co_await pause(kFullDiskRetryAtStart);
+    disk = co_await start_disk(options_, peers_);
+  }
   }
   disk_ = std::move(disk.value());
   make_replica(disk_.storage->take_state());
@@ -249,6 +256,9 @@
     return json_response(503, R"({"status":"joining"})");
   }
   if (!replica_->leading() && (!node.leader() || *node.leader() == node.config().id)) {
+  if (replica_->without_room()) {
+    return json_response(503, R"({"status":"the disk is full"})");
+  }
     return json_response(503, R"({"status":"no leader is known"})");
   }
   return json_response(200, R"({"status":"ready"})");
--- a/src/control/metrics.cpp
+++ b/src/control/metrics.cpp
@@ -30,6 +30,8 @@
   registry.gauge("pipitpond_control_members", "Members of control.")
       .set(number(node.membership().members.size()));
   registry.gauge("pipitpond_control_daemons", "Admitted daemons.").set(number(configuration.daemons.size()));
+  registry.gauge("pipitpond_control_disk_full", "1 while the replica waits for room on its disk.")
+      .set(replica.without_room() ? 1 : 0);
   registry.counter("pipitpond_control_syncs_total", "Log syncs.").increment(number(replica.syncs()));
   registry.counter("pipitpond_control_heartbeats_total", "Heartbeats answered.")
       .increment(number(daemons.heartbeats()));
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -15,6 +15,15 @@
 /// Applied entries that the log may hold before it is replaced by a snapshot.
 constexpr raft::Index kCompactAfterEntries = 4096;
 
+/// Between attempts to write to a full disk: a few in each election timeout, so that a replica whose disk has
+/// room again takes part at once; an attempt that fails costs one call of the system.
+constexpr core::Duration kFullDiskRetry = std::chrono::milliseconds(100);
+
+core::Error no_room() {
+  return core::Error{core::ErrorKind::kUnavailable, "The disk of this control replica is full.",
+                     "Ask another control replica, and free space in this one's data folder.", 500};
+}
+
 core::Error not_leader() {
   return core::Error{core::ErrorKind::kNotLeader, "This control replica does not lead.",
                      "Ask the leader, or ask again in a moment.", 200};
@@ -58,12 +67,18 @@
 }
 
 void Replica::receive(raft::Message message) {
+  if (without_room()) {
+    return;  // An answer would promise what can't be made durable. Messages may be lost.
+  }
   node_.step(core::BootClock::now(), std::move(message));
   schedule_work();
 }
 
 boost::asio::awaitable<core::Result<configuration::CommandResult>> Replica::propose(
     configuration::Command command, core::Duration timeout) {
+  if (without_room()) {
+    co_return no_room();
+  }
   const auto position = node_.propose(core::BootClock::now(), wire::pack(command));
   if (!position) {
     co_return position.error();
@@ -84,6 +99,9 @@
 }
 
 boost::asio::awaitable<core::Result<void>> Replica::read_barrier(core::Duration timeout) {
+  if (without_room()) {
+    co_return no_room();
+  }
   const raft::ReadToken token = next_read_++;
   const auto asked = node_.read_index(core::BootClock::now(), token);
   if (!asked) {
@@ -102,6 +120,9 @@
 }
 
 core::Result<void> Replica::change_membership(const raft::MembershipChange& change) {
+  if (without_room()) {
+    return no_room();
+  }
   const auto position = node_.propose_membership(core::BootClock::now(), change);
   if (!position) {
     return position.error();
@@ -111,6 +132,9 @@
 }
 
 core::Result<void> Replica::transfer_leadership() {
+  if (without_room()) {
+    return no_room();
+  }
   auto result = node_.transfer_leadership(core::BootClock::now());
   schedule_work();
   return result;
@@ -133,15 +157,16 @@
   if (!running_) {
     return;
   }
+  if (!carry_out_what_waited()) {
+    return;
+  }
   if (core::BootClock::now() >= node_.next_timer()) {
     node_.tick(core::BootClock::now());
   }
   while (node_.has_ready()) {
-    const raft::Ready ready = node_.take_ready();
-    if (!carry_out(ready)) {
+    if (!carry_out(node_.take_ready())) {
       return;
     }
-    node_.advance(core::BootClock::now());
   }
   note_leadership_loss();
   note_leadership_gain();
@@ -154,15 +179,48 @@
   set_timer();
 }
 
-bool Replica::carry_out(const raft::Ready& ready) {
-  const auto persisted = persist_(ready);
-  if (!persisted) {
+bool Replica::persist(const raft::Ready& ready) {
+  auto persisted = persist_(ready);
+  if (persisted) {
+    syncs_ += ready.must_sync ? 1 : 0;
+    return true;
+  }
+  if (persisted.error().kind == core::ErrorKind::kNoCapacity) {
+    wait_for_room(ready, persisted.error());
+  } else {
     running_ = false;
     events_.failed(persisted.error());
+  }
+  return false;
+}
+
+// A replica that ended instead would be started again, and end again, as long as its disk is full: 5 and 6
+// ends in a day of 40 s with a full disk of 10 s. Waiting is safe for the same reason as a disk that stalls:
+// nothing that depends on the Ready is sent, and no answer is taken, so that its majority and its leases run
+// out.
+void Replica::wait_for_room(raft::Ready ready, const core::Error& error) {
+  if (!without_room()) {
+    logging::logger("control")->error("event=disk_full leading={} {}", leading_, core::describe(error));
+  }
+  waiting_for_room_ = std::move(ready);
+  note_leadership_loss();
+  set_timer(kFullDiskRetry);
+}
+
+bool Replica::carry_out_what_waited() {
+  if (!without_room()) {
+    return true;
+  }
+  return carry_out(std::move(*waiting_for_room_));
+}
+
+bool Replica::carry_out(raft::Ready ready) {
+  if (!persist(ready)) {
     return false;
   }
-  if (ready.must_sync) {
-    ++syncs_;
+  if (without_room()) {
+    waiting_for_room_.reset();
+    logging::logger("control")->info("event=disk_has_room_again");
   }
   for (const raft::Message& message : ready.messages) {
     send_(message);
@@ -188,6 +246,7 @@
     }
   }
   finish_confirmed_reads();
+  node_.advance(core::BootClock::now());
   return true;
 }
 
@@ -243,7 +302,7 @@
 }
 
 void Replica::note_leadership_loss() {
-  const bool leads = running_ && node_.role() == raft::Role::kLeader;
+  const bool leads = running_ && !without_room() && node_.role() == raft::Role::kLeader;
   if (leads) {
     return;
   }
@@ -292,7 +351,10 @@
 }
 
 void Replica::set_timer() {
-  const core::Duration left = node_.next_timer() - core::BootClock::now();
+  set_timer(node_.next_timer() - core::BootClock::now());
+}
+
+void Replica::set_timer(core::Duration left) {
   timer_.expires_after(std::max(left, core::Duration::zero()));
   timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](const boost::system::error_code& error) {
     if (!error && !alive.expired()) {
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -22,7 +22,8 @@
 
 namespace pipitpond::control {
 
-/// Makes what a Ready asks for durable. Returns an error only when the replica must not go on.
+/// Makes what a Ready asks for durable. Fails with kNoCapacity when the disk is full: the same Ready is given
+/// again later. After any other error the replica must not go on.
 using PersistReady = std::function<core::Result<void>(const raft::Ready&)>;
 /// Sends a message to another replica; may lose it.
 using SendMessage = std::function<void(raft::Message)>;
@@ -70,6 +71,8 @@
   [[nodiscard]] bool leading() const { return leading_; }
   [[nodiscard]] const raft::Node& node() const { return node_; }
   [[nodiscard]] const configuration::StateMachine& machine() const { return machine_; }
+  /// The disk is full: this replica neither votes, leads nor takes anything up until there is room.
+  [[nodiscard]] bool without_room() const { return waiting_for_room_.has_value(); }
   /// Syncs since start, for metrics.
   [[nodiscard]] std::uint64_t syncs() const { return syncs_; }
 
@@ -84,7 +87,12 @@
 
   void schedule_work();
   void work();
-  bool carry_out(const raft::Ready& ready);
+  /// False when the replica can't go on now.
+  bool carry_out(raft::Ready ready);
+  bool persist(const raft::Ready& ready);
+  void wait_for_room(raft::Ready ready, const core::Error& error);
+  /// True when what waited for room is durable and carried out, or nothing waits.
+  bool carry_out_what_waited();
   void apply(const raft::Entry& entry);
   void restore(const raft::Snapshot& snapshot);
   void note_leadership_loss();
@@ -96,6 +104,7 @@
   void fail_pending(const core::Error& error);
   void compact_if_long();
   void set_timer();
+  void set_timer(core::Duration left);
 
   boost::asio::io_context& io_;
   boost::asio::steady_timer timer_;
@@ -110,6 +119,8 @@
   bool leading_ = false;
   bool work_scheduled_ = false;
   std::optional<core::Error> broken_;  ///< The state could not be loaded.
+  /// Could not be made durable because the disk is full. Nothing that it promises is sent before.
+  std::optional<raft::Ready> waiting_for_room_;
   raft::Index applied_ = 0;
   protocol::Revision told_revision_ = 0;
   std::uint64_t told_candidacies_ = 0;
--- a/src/storage/disk.hpp
+++ b/src/storage/disk.hpp
@@ -1,8 +1,10 @@
 // The narrow view of a file system that durable state is built on: one flat data folder.
 //
 // What was not synced may be lost in a crash: bytes of a file until sync(name), and the creation, renaming or
-// removal of a file until sync_directory(). After any failure other than kNotFound the state on disk is
-// unknown: the process must stop and start again from what the disk holds.
+// removal of a file until sync_directory(). After a failure other than kNotFound and kNoCapacity the state on
+// disk is unknown: the process must stop and start again from what the disk holds. kNoCapacity says that the
+// disk is full: an append may have written a part of its bytes, any other call has changed nothing. A sync
+// never fails with it.
 #pragma once
 
 #include <cstdint>
--- a/src/storage/durable_file.hpp
+++ b/src/storage/durable_file.hpp
@@ -10,6 +10,7 @@
 namespace pipitpond::storage {
 
 /// Replaces a file: writes a temporary one, syncs it, renames it, syncs the directory. Durable on return.
+/// Fails with kNoCapacity when the disk is full: the file is as it was, and the call may be repeated.
 core::Result<void> write_durable_file(Disk& disk, const std::string& name, std::string_view payload);
 /// Reads a file written by write_durable_file. Fails with kNotFound, or kCorrupt when its checksum is wrong.
 core::Result<std::string> read_durable_file(Disk& disk, const std::string& name);
--- a/src/storage/file_disk.cpp
+++ b/src/storage/file_disk.cpp
@@ -24,16 +24,30 @@
 constexpr mode_t kFileMode = 0640;
 constexpr std::size_t kReadBytes = 65536;
 
+ErrorKind kind_of(int error) {
+  switch (error) {
+    case ENOENT:
+      return ErrorKind::kNotFound;
+    case ENOSPC:
+    case EDQUOT:
+      return ErrorKind::kNoCapacity;
+    default:
+      return ErrorKind::kUnavailable;
+  }
+}
+
 auto failure(const std::string& what, const std::string& path) {
   const auto reason = std::error_code(errno, std::generic_category()).message();
-  const auto kind = errno == ENOENT ? ErrorKind::kNotFound : ErrorKind::kUnavailable;
-  return core::fail(kind, "Can't " + what + " " + path + ": " + reason + ".",
+  return core::fail(kind_of(errno), "Can't " + what + " " + path + ": " + reason + ".",
                     "Check the disk, its free space and the folder's permissions, then restart.");
 }
 
 core::Result<void> sync_descriptor(int descriptor, const std::string& path) {
-  if (::fsync(descriptor) != 0) return failure("sync", path);
-  return core::outcome::success();
+  if (::fsync(descriptor) == 0) return core::outcome::success();
+  core::Error error = failure("sync", path).error();
+  // Whatever the reason: what a failed sync has left of the bytes is unknown.
+  error.kind = ErrorKind::kUnavailable;
+  return error;
 }
 
 core::Result<void> sync_path(const std::string& path) {
--- a/src/storage/raft_storage.cpp
+++ b/src/storage/raft_storage.cpp
@@ -189,17 +189,18 @@
     BOOST_OUTCOME_TRYV(append_frame(wire::pack(LogRecord{ready.hard_state, ready.reset_log, ready.entries})));
   }
   if (ready.snapshot || segments_.back().bytes > segment_bytes_) {
-    BOOST_OUTCOME_TRYV(begin_segment());
+    BOOST_OUTCOME_TRYV(begin_segment_if_there_is_room());
   }
   if (ready.snapshot) return remove_covered();
   return core::outcome::success();
 }
 
 core::Result<void> RaftStorage::save_snapshot(const raft::Snapshot& snapshot) {
-  snapshot_index_ = snapshot.index;
   const std::string packed = wire::pack(snapshot);
+  BOOST_OUTCOME_TRYV(write_durable_file(*disk_, snapshot_name(snapshot.index), packed));
+  snapshot_index_ = snapshot.index;
   bytes_written_ += packed.size();
-  return write_durable_file(*disk_, snapshot_name(snapshot.index), packed);
+  return core::outcome::success();
 }
 
 core::Result<void> RaftStorage::begin_segment() {
@@ -208,6 +209,16 @@
   return open_segment();
 }
 
+core::Result<void> RaftStorage::begin_segment_if_there_is_room() {
+  const auto begun = begin_segment();
+  if (begun || begun.error().kind != ErrorKind::kNoCapacity) return begun;
+  BOOST_OUTCOME_TRYV(disk_->remove(segment_name(segments_.back().number)));
+  // A segment that were left would be followed by one of the same number.
+  BOOST_OUTCOME_TRYV(disk_->sync_directory());
+  segments_.pop_back();
+  return core::outcome::success();
+}
+
 core::Result<void> RaftStorage::open_segment() {
   // Each segment begins with the hard state, so that older ones may go.
   BOOST_OUTCOME_TRYV(append_frame(wire::pack(LogRecord{hard_state_, false, {}})));
@@ -218,12 +229,25 @@
   auto& segment = segments_.back();
   const auto name = segment_name(segment.number);
   const auto frame = encode_frame(payload);
-  BOOST_OUTCOME_TRYV(disk_->append(name, frame));
+  const auto written = disk_->append(name, frame);
+  if (!written) {
+    if (written.error().kind == ErrorKind::kNoCapacity) {
+      BOOST_OUTCOME_TRYV(cut_off_partial_frame());
+    }
+    return written;
+  }
   segment.bytes += frame.size();
   bytes_written_ += frame.size();
   return disk_->sync(name);
 }
 
+/// A frame that follows a partial one would count as damage. Cutting the rest off needs no sync: until the
+/// next frame is synced, whatever a crash leaves behind the last one is a torn tail.
+core::Result<void> RaftStorage::cut_off_partial_frame() {
+  const auto& segment = segments_.back();
+  return disk_->truncate(segment_name(segment.number), segment.bytes);
+}
+
 core::Result<void> RaftStorage::remove_covered() {
   // Oldest first: a segment that stays may hold entries that a removed later one had replaced.
   while (segments_.size() > 1 && segments_.front().last_index <= snapshot_index_) {
--- a/src/storage/raft_storage.hpp
+++ b/src/storage/raft_storage.hpp
@@ -36,7 +36,8 @@
   /// What the disk held when it was opened; may be taken once.
   raft::PersistedState take_state() { return std::move(state_); }
 
-  /// Step 1 of raft::Ready: durable on return. After a failure the process must stop.
+  /// Step 1 of raft::Ready: durable on return. Fails with kNoCapacity when the disk is full: nothing of it is
+  /// durable, and the same Ready may be given again. After any other failure the process must stop.
   core::Result<void> persist(const raft::Ready& ready);
 
   /// Bytes of log frames and snapshots written since the storage was opened.
@@ -57,8 +58,11 @@
   core::Result<void> settle_log();
   core::Result<void> save_snapshot(const raft::Snapshot& snapshot);
   core::Result<void> begin_segment();
+  /// Goes on in the last segment when there is no room for another one.
+  core::Result<void> begin_segment_if_there_is_room();
   core::Result<void> open_segment();
   core::Result<void> append_frame(const std::string& payload);
+  core::Result<void> cut_off_partial_frame();
   core::Result<void> remove_covered();
 
   Disk* disk_;
--- a/tests/control/memory_cluster.cpp
+++ b/tests/control/memory_cluster.cpp
@@ -9,6 +9,9 @@
 namespace pipitpond::control {
 
 core::Result<void> MemoryDisk::persist(const raft::Ready& ready) {
+  if (full_ && ready.must_sync) {
+    return core::fail(core::ErrorKind::kNoCapacity, "The disk is full.", "Free some space.");
+  }
   if (ready.hard_state) {
     state_.hard_state = *ready.hard_state;
   }
--- a/tests/control/memory_cluster.hpp
+++ b/tests/control/memory_cluster.hpp
@@ -22,8 +22,11 @@
 
   core::Result<void> persist(const raft::Ready& ready);
   [[nodiscard]] const raft::PersistedState& state() const { return state_; }
+  /// Until it is emptied, it takes nothing.
+  void set_full(bool full) { full_ = full; }
 
  private:
+  bool full_ = false;
   raft::PersistedState state_;
 };
 
@@ -43,6 +46,7 @@
   void cut(const std::string& name) { cut_.insert(name); }
   void heal(const std::string& name) { cut_.erase(name); }
 
+  MemoryDisk& disk(const std::string& name) { return disks_.at(name); }
   Replica& replica(const std::string& name) { return *replicas_.at(name); }
   /// Waits for a leader among the replicas that are not cut.
   std::string wait_for_leader();
--- a/tests/control/replica_test.cpp
+++ b/tests/control/replica_test.cpp
@@ -57,6 +57,46 @@
   EXPECT_EQ(cluster.replica(new_leader).node().term(), term);
 }
 
+TEST_F(ReplicaTest, ALeaderWithAFullDiskStepsDownAndTakesPartAgainOnceThereIsRoom) {
+  const std::string full = cluster.wait_for_leader();
+  ASSERT_TRUE(propose(full, put_zone("gasabo", "k1")));
+  cluster.disk(full).set_full(true);
+  EXPECT_FALSE(propose(full, put_zone("gasabo", "k2", 1, "north")));
+  ASSERT_TRUE(cluster.replica(full).without_room());
+  EXPECT_FALSE(cluster.replica(full).leading());
+  const auto refused = propose(full, put_zone("gasabo", "k3", 1, "south"));
+  ASSERT_FALSE(refused);
+  EXPECT_EQ(refused.error().kind, core::ErrorKind::kUnavailable);
+  EXPECT_FALSE(run(io, cluster.replica(full).read_barrier(kTimeout)));
+
+  const std::string leader = cluster.wait_for_leader();
+  ASSERT_NE(leader, full);
+  // The same key: it applies once, whether or not the full disk's attempt is found.
+  ASSERT_TRUE(propose(leader, put_zone("gasabo", "k2", 1, "north")));
+  ASSERT_TRUE(propose(leader, put_zone("kicukiro", "k4", 0)));
+  EXPECT_EQ(cluster.replica(full).machine().configuration().revision, 1U);
+
+  cluster.disk(full).set_full(false);
+  ASSERT_TRUE(run_until(io, [&] { return cluster.replica(full).machine().configuration().revision == 3; }));
+  EXPECT_FALSE(cluster.replica(full).without_room());
+}
+
+TEST_F(ReplicaTest, AFollowerWithAFullDiskPromisesNothing) {
+  const std::string leader = cluster.wait_for_leader();
+  const std::string full = a_follower(leader);
+  const std::string third = leader == "c3" || full == "c3" ? "c2" : "c3";
+  cluster.disk(full).set_full(true);
+  ASSERT_TRUE(propose(leader, put_zone("gasabo", "k1")));
+  ASSERT_TRUE(run_until(io, [&] { return cluster.replica(full).without_room(); }));
+  cluster.cut(third);
+  EXPECT_FALSE(propose(leader, put_zone("kicukiro", "k2"))) << "only a full disk is left to make a majority";
+  cluster.heal(third);
+  cluster.disk(full).set_full(false);
+  const std::string next = cluster.wait_for_leader();
+  ASSERT_TRUE(propose(next, put_zone("kicukiro", "k2")));
+  ASSERT_TRUE(run_until(io, [&] { return cluster.replica(full).machine().configuration().revision == 2; }));
+}
+
 TEST_F(ReplicaTest, ChangeWithoutAQuorumIsUnknownAndItsKeyAppliesOnceLater) {
   const std::string old_leader = cluster.wait_for_leader();
   cluster.cut(old_leader);
--- a/tests/storage/file_disk_test.cpp
+++ b/tests/storage/file_disk_test.cpp
@@ -43,6 +43,14 @@
   EXPECT_EQ(storage.value().take_state().entries, ready.entries);
 }
 
+TEST_F(FileDiskTest, AFullDiskIsToldFromABrokenOne) {
+  auto disk = std::move(FileDisk::open(folder_).value());
+  std::filesystem::create_symlink("/dev/full", folder_ + "/log");
+  const auto written = disk->append("log", "12345");
+  ASSERT_TRUE(written.has_failure());
+  EXPECT_EQ(written.error().kind, core::ErrorKind::kNoCapacity);
+}
+
 TEST_F(FileDiskTest, FolderIsForOneProcessOnly) {
   auto first = FileDisk::open(folder_);
   ASSERT_TRUE(first.has_value());
--- a/tests/storage/raft_storage_test.cpp
+++ b/tests/storage/raft_storage_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <limits>
+
 #include "simulation/simulated_disk.hpp"
 #include "storage/durable_file.hpp"
 #include "storage/frame.hpp"
@@ -52,6 +55,36 @@
   return storage.take_state();
 }
 
+/// A disk with room for some more bytes only.
+class NarrowDisk : public Disk {
+ public:
+  explicit NarrowDisk(Disk& disk) : disk_(disk) {}
+
+  core::Result<std::vector<std::string>> list() override { return disk_.list(); }
+  core::Result<std::string> read(const std::string& name) override { return disk_.read(name); }
+  core::Result<void> append(const std::string& name, std::string_view bytes) override {
+    const auto taken = std::min(room, bytes.size());
+    BOOST_OUTCOME_TRYV(disk_.append(name, bytes.substr(0, taken)));
+    room -= taken;
+    if (taken == bytes.size()) return core::outcome::success();
+    return core::fail(core::ErrorKind::kNoCapacity, "The disk is full.", "Free some space.");
+  }
+  core::Result<void> truncate(const std::string& name, std::uint64_t size) override {
+    return disk_.truncate(name, size);
+  }
+  core::Result<void> sync(const std::string& name) override { return disk_.sync(name); }
+  core::Result<void> rename(const std::string& from, const std::string& to) override {
+    return disk_.rename(from, to);
+  }
+  core::Result<void> remove(const std::string& name) override { return disk_.remove(name); }
+  core::Result<void> sync_directory() override { return disk_.sync_directory(); }
+
+  std::size_t room = std::numeric_limits<std::size_t>::max();
+
+ private:
+  Disk& disk_;
+};
+
 /// The last segment's name.
 std::string last_segment(Disk& disk) {
   std::string last;
@@ -62,6 +95,43 @@
   return last;
 }
 
+/// Plays appends and a snapshot with each amount of room, frees the disk, and goes on.
+class FullDiskTest : public ::testing::TestWithParam<bool> {};
+
+TEST_P(FullDiskTest, NothingIsLostAndTheSameReadyIsTakenOnceThereIsRoom) {
+  const bool crashes = GetParam();
+  constexpr std::size_t kMostRoom = 700;
+  for (std::size_t room = 0; room < kMostRoom; ++room) {
+    SimulatedDisk disk(kSeed + room);
+    NarrowDisk narrow(disk);
+    ASSERT_TRUE(RaftStorage::create(narrow, kIdentity, first_state()).has_value());
+    auto storage = RaftStorage::open(narrow, kSmallSegment);
+    ASSERT_TRUE(storage.value().persist(append(2, 3, 1)).has_value());
+    narrow.room = room;
+    raft::Index last = 3;
+    std::vector<raft::Ready> steps{append(4, 5, 1), append(6, 7, 1), compaction(4, 1), append(8, 8, 2)};
+    for (const auto& step : steps) {
+      auto done = storage.value().persist(step);
+      if (!done) {
+        ASSERT_EQ(done.error().kind, core::ErrorKind::kNoCapacity) << room;
+        if (crashes) break;
+        ASSERT_FALSE(storage.value().persist(step).has_value()) << "there is no room yet";
+        narrow.room = std::numeric_limits<std::size_t>::max();
+        done = storage.value().persist(step);
+      }
+      ASSERT_TRUE(done.has_value()) << room << ": " << core::describe(done.error());
+      if (!step.entries.empty()) last = step.entries.back().index;
+    }
+    disk.crash();
+    const auto state = load(disk);
+    ASSERT_TRUE(state.has_value()) << room << ": " << core::describe(state.error());
+    ASSERT_FALSE(state.value().entries.empty()) << room;
+    EXPECT_EQ(state.value().entries.back().index, last) << room;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(WithAndWithoutACrash, FullDiskTest, ::testing::Bool());
+
 TEST(RaftStorage, KeepsWhatWasPersisted) {
   SimulatedDisk disk(kSeed);
   ASSERT_TRUE(RaftStorage::create(disk, kIdentity, first_state()).has_value());
