Keep a replaced database's late heartbeat from taking its address back

Cause: databases that another one replaced at their address were not remembered as gone, so that a heartbeat which a cut had delayed registered them again and dropped the successor. Change: they are remembered like databases that were removed. The test was seen to fail without it.

--- a/src/configuration/state_machine.cpp
+++ b/src/configuration/state_machine.cpp
@@ -80,6 +80,9 @@
 }
 
 void StateMachine::accept(const Command& command, const Change& change) {
+  if (const auto* registration = std::get_if<RegisterDatabase>(&command.operation)) {
+    remember_predecessors(registration->database);
+  }
   protocol::apply(state_.configuration, change);
   keep_change(change);
   if (const auto* complete = std::get_if<CompletePrimaryChange>(&command.operation)) {
@@ -99,6 +102,19 @@
   state_.promoted_members[complete.group] = std::move(members);
 }
 
+// A heartbeat that a cut has delayed may arrive after its sender has crashed and another database has taken
+// the address: it must not put the sender back in its successor's place.
+void StateMachine::remember_predecessors(const protocol::Database& successor) {
+  for (const auto& [name, group] : state_.configuration.groups) {
+    for (const protocol::Database& database : group.databases) {
+      const bool replaced = database.endpoint == successor.endpoint && database.id != successor.id;
+      if (replaced && group.self_registered) {
+        remember_removal(database.id);
+      }
+    }
+  }
+}
+
 void StateMachine::remember_removal(const core::DatabaseId& database) {
   if (!state_.removed_databases.insert(database).second) {
     return;
--- a/src/configuration/state_machine.hpp
+++ b/src/configuration/state_machine.hpp
@@ -94,6 +94,8 @@
   void keep_change(const protocol::Change& change);
   void keep_answer(const core::RequestKey& key, std::uint64_t fingerprint, const CommandResult& result);
   [[nodiscard]] Members promoted_members_for(const Operation& operation) const;
+  /// Before a registration is applied: the databases that it replaces have ended.
+  void remember_predecessors(const protocol::Database& successor);
 
   Limits limits_;
   State state_;
--- a/tests/configuration/registry_test.cpp
+++ b/tests/configuration/registry_test.cpp
@@ -145,6 +145,15 @@
 TEST_F(RegistryTest, ASnapshotKeepsAllOfIt) {
   apply(table(7, "seven"));
   apply(database("a", 9001));
+TEST_F(RegistryTest, ALateHeartbeatOfAPredecessorDoesNotTakeTheAddressBack) {
+  apply(table(1));
+  apply(database("a", 9001));
+  apply(database("a2", 9001));
+  EXPECT_FALSE(apply(database("a", 9001)).changed);
+  ASSERT_EQ(plates().databases.size(), 1U);
+  EXPECT_EQ(plates().databases[0].id, core::DatabaseId("a2"));
+}
+
   apply(DepartDatabase{core::DatabaseId("a")});
   apply(RemoveDatabase{core::DatabaseId("a")});
   StateMachine restored;
