--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -18,6 +18,7 @@
 #include "storage/file_disk.hpp"
 #include "wire/channel.hpp"
 #include "wire/codec.hpp"
+#include "wire/compact.hpp"
 
 namespace pipitpond::agent {
 
@@ -191,7 +192,7 @@
       return;
     }
     if (answer) {
-      auto reply = wire::unpack<protocol::FetchReply>(answer.value());
+      auto reply = wire::unpack_compact<protocol::FetchReply>(answer.value());
       if (reply) {
         session_.on_fetch_answered(effect.to);
         const protocol::FetchReply* fetched = session_.take_fetch_reply(now, std::move(reply.value()));
--- a/src/configuration/state_machine.cpp
+++ b/src/configuration/state_machine.cpp
@@ -156,6 +156,20 @@
   return found == state_.promoted_members.end() ? Members{} : found->second;
 }
 
+// The changes since a daemon's start are a whole day's: each of a route table repeats the table. After a loss
+// of power of 291 daemons, the 108 changes of half a minute came to daemons 0.8 s after control was up, and
+// their first answers 1.0 s after.
+bool StateMachine::costs_more_than_a_snapshot(Revision revision) const {
+  std::size_t bytes = 0;
+  for (auto kept = state_.changes.rbegin(); kept != state_.changes.rend(); ++kept) {
+    if (kept->change.revision <= revision) {
+      break;
+    }
+    bytes += kept->bytes;
+  }
+  return bytes > kChangesAlwaysSent && bytes > wire::pack(state_.configuration).size();
+}
+
 protocol::FetchReply StateMachine::changes_after(Revision revision) const {
   protocol::FetchReply reply;
   const Revision current = state_.configuration.revision;
@@ -163,7 +177,7 @@
     return reply;
   }
   const bool kept = !state_.changes.empty() && state_.changes.front().change.revision <= revision + 1;
-  if (!kept) {
+  if (!kept || costs_more_than_a_snapshot(revision)) {
     reply.snapshot = state_.configuration;
     return reply;
   }
--- a/src/configuration/state_machine.hpp
+++ b/src/configuration/state_machine.hpp
@@ -45,6 +45,9 @@
   MSGPACK_DEFINE(change, bytes);
 };
 
+/// Changes of fewer bytes are not weighed against a snapshot: a link of 2 Mbit/s carries them in 16 ms.
+inline constexpr std::size_t kChangesAlwaysSent = 4096;
+
 /// Replicated state.
 class StateMachine {
  public:
@@ -87,15 +90,16 @@
                    promoted_members, route_document, removed_databases, removal_order);
   };
 
+  [[nodiscard]] bool costs_more_than_a_snapshot(protocol::Revision revision) const;
   CommandResult execute(const Command& command);
   void accept(const Command& command, const protocol::Change& change);
   void remember_members(const CompletePrimaryChange& complete);
+  /// Before a registration is applied: the databases that it replaces have ended.
+  void remember_predecessors(const protocol::Database& successor);
   void remember_removal(const core::DatabaseId& database);
   void keep_change(const protocol::Change& change);
   void keep_answer(const core::RequestKey& key, std::uint64_t fingerprint, const CommandResult& result);
   [[nodiscard]] Members promoted_members_for(const Operation& operation) const;
-  /// Before a registration is applied: the databases that it replaces have ended.
-  void remember_predecessors(const protocol::Database& successor);
 
   Limits limits_;
   State state_;
--- a/src/control/fetch_replies.cpp
+++ b/src/control/fetch_replies.cpp
@@ -1,6 +1,6 @@
 #include "control/fetch_replies.hpp"
 
-#include "wire/codec.hpp"
+#include "wire/compact.hpp"
 
 namespace pipitpond::control {
 
@@ -12,7 +12,7 @@
   }
   const auto [found, is_new] = packed_.try_emplace(after);
   if (is_new) {
-    found->second = wire::pack(machine_.changes_after(after));
+    found->second = wire::pack_compact(machine_.changes_after(after));
   }
   return found->second;
 }
--- a/src/control/fetch_replies.hpp
+++ b/src/control/fetch_replies.hpp
@@ -14,7 +14,8 @@
  public:
   explicit FetchReplies(const configuration::StateMachine& machine) : machine_(machine) {}
 
-  /// What follows `after`, packed as protocol::FetchReply. The reference is valid until the next call.
+  /// What follows `after`, packed by wire::pack_compact as protocol::FetchReply. The reference is valid until
+  /// the next call.
   const std::string& after(protocol::Revision after);
 
  private:
--- a/src/control/peer_channels.cpp
+++ b/src/control/peer_channels.cpp
@@ -1,6 +1,7 @@
 #include "control/peer_channels.hpp"
 
 #include "wire/codec.hpp"
+#include "wire/compact.hpp"
 #include "wire/message_type.hpp"
 
 namespace pipitpond::control {
@@ -65,7 +66,7 @@
   if (!body) {
     co_return body.error();
   }
-  const auto reply = wire::unpack<protocol::FetchReply>(body.value());
+  const auto reply = wire::unpack_compact<protocol::FetchReply>(body.value());
   if (!reply) {
     co_return reply.error();
   }
--- a/src/pooling/statement_forwarder.hpp
+++ b/src/pooling/statement_forwarder.hpp
@@ -14,6 +14,7 @@
 #include "core/ids.hpp"
 #include "pooling/backend_health.hpp"
 #include "pooling/backend_pool.hpp"
+#include "pooling/forward_messages.hpp"
 #include "pooling/statement_lease.hpp"
 #include "protocol/configuration.hpp"
 #include "wire/channel.hpp"
--- a/tests/agent/agent_test.cpp
+++ b/tests/agent/agent_test.cpp
@@ -16,6 +16,7 @@
 
 #include "protocol/tunables.hpp"
 #include "wire/codec.hpp"
+#include "wire/compact.hpp"
 #include "wire/server.hpp"
 
 namespace pipitpond::agent {
@@ -74,7 +75,7 @@
       ++departures_;
       co_return wire::pack(protocol::Acknowledgement{});
     }
-    co_return wire::pack(on_fetch(wire::unpack<protocol::FetchRequest>(body).value()));
+    co_return wire::pack_compact(on_fetch(wire::unpack<protocol::FetchRequest>(body).value()));
   }
 
   protocol::HeartbeatReply on_heartbeat(const protocol::Heartbeat& heartbeat) {
--- a/tests/configuration/registry_test.cpp
+++ b/tests/configuration/registry_test.cpp
@@ -100,6 +100,29 @@
   EXPECT_EQ(owners_with(3, 600), kMostOwners);
 }
 
+TEST_F(RegistryTest, ADaemonThatStartsGetsTheConfigurationAndNotTheDaysChanges) {
+  // 25 tables of 65 routes took a starting daemon a second on its link of 2 Mbit/s.
+  constexpr std::uint64_t kTables = 25;
+  constexpr int kRoutes = 65;
+  for (std::uint64_t version = 1; version <= kTables; ++version) {
+    PutRouteTable put = table(version);
+    for (int number = 0; number < kRoutes; ++number) {
+      protocol::Route route = put.table.routes[0];
+      route.name = "r" + std::to_string(number);
+      route.database = "archive" + std::to_string(number);
+      put.table.routes.push_back(route);
+    }
+    ASSERT_TRUE(apply(put).changed);
+  }
+  const auto from_nothing = machine_.changes_after(0);
+  ASSERT_TRUE(from_nothing.snapshot);
+  EXPECT_EQ(from_nothing.snapshot->routes.version, kTables);
+  EXPECT_TRUE(from_nothing.changes.empty());
+  const auto newest = machine_.changes_after(machine_.configuration().revision - 1);
+  EXPECT_FALSE(newest.snapshot);
+  EXPECT_EQ(newest.changes.size(), 1U);
+}
+
 TEST_F(RegistryTest, ARepeatedHeartbeatChangesNothing) {
   apply(table(1));
   EXPECT_TRUE(apply(database("a", 9001)).changed);
--- a/tests/control/fetch_replies_test.cpp
+++ b/tests/control/fetch_replies_test.cpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "protocol/control_messages.hpp"
-#include "wire/codec.hpp"
+#include "wire/compact.hpp"
 
 namespace pipitpond::control {
 namespace {
@@ -17,7 +17,7 @@
   }
 
   protocol::FetchReply after(protocol::Revision revision) {
-    return wire::unpack<protocol::FetchReply>(replies_.after(revision)).value();
+    return wire::unpack_compact<protocol::FetchReply>(replies_.after(revision)).value();
   }
 
   configuration::StateMachine machine_;
