Let control replicas that start announce themselves to daemons

Ruled out: more named replicas (the settings are the platform's); connections from each replica to each daemon (2,619 of them in the worst moment).

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -19,6 +19,7 @@
 #include "wire/channel.hpp"
 #include "wire/codec.hpp"
 #include "wire/compact.hpp"
+#include "wire/datagram.hpp"
 
 namespace pipitpond::agent {
 
@@ -73,8 +74,14 @@
         translate_(std::move(translate)),
         log_(logging::logger("agent")) {}
 
-  void start() { asio::co_spawn(io_, run_ticks(weak_from_this(), io_), asio::detached); }
-  void close() { channels_.clear(); }
+  void start() {
+    asio::co_spawn(io_, run_ticks(weak_from_this(), io_), asio::detached);
+    listen_for_announcements();
+  }
+  void close() {
+    channels_.clear();
+    announcements_.reset();
+  }
 
   Session& session() { return session_; }
   [[nodiscard]] const Session& session() const { return session_; }
@@ -95,6 +102,25 @@
     }
   }
 
+  /// At the internal endpoint, whose address control knows. Without them, the replicas of the settings are
+  /// asked.
+  void listen_for_announcements() {
+    auto listener = wire::DatagramListener::open(
+        io_, options_.internal, [self = weak_from_this()](const std::string& bytes) {
+          const auto driver = self.lock();
+          const auto announcement = wire::unpack<protocol::ControlAnnouncement>(bytes);
+          if (driver && announcement) {
+            driver->session_.on_control_announced(core::BootClock::now(), announcement.value().internal);
+            driver->carry_out();
+          }
+        });
+    if (listener) {
+      announcements_ = std::move(listener.value());
+    } else {
+      log_->warn("event=no_announcements {}", core::describe(listener.error()));
+    }
+  }
+
   std::shared_ptr<wire::Channel> channel(const core::Endpoint& peer) {
     std::shared_ptr<wire::Channel>& channel = channels_[peer];
     if (channel == nullptr) {
@@ -251,6 +277,7 @@
   TranslateEndpoint translate_;
   logging::Logger log_;
   std::map<core::Endpoint, std::shared_ptr<wire::Channel>> channels_;
+  std::unique_ptr<wire::DatagramListener> announcements_;
   std::vector<ChangeCallback> callbacks_;
 };
 
--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -201,6 +201,18 @@
   fetch_if_behind(now, from);
 }
 
+void Session::on_control_announced(core::Instant now, const core::Endpoint& replica) {
+  const bool known = std::find(control_.begin(), control_.end(), replica) != control_.end();
+  const bool wanted = !stopped_ && !configuration_confirmed() && !known && replica.port != 0;
+  if (!wanted || control_.size() >= kMostKnownReplicas) {
+    return;
+  }
+  control_.push_back(replica);
+  if (!fetched_.has_value()) {
+    confirm_configuration(now);
+  }
+}
+
 void Session::fetch_if_behind(core::Instant now, const core::Endpoint& from) {
   if (newest_known_ > configuration_.revision && !fetching_ && !fetched_.has_value()) {
     fetch(now, from);
--- a/src/agent/session.hpp
+++ b/src/agent/session.hpp
@@ -65,6 +65,8 @@
                           const protocol::HeartbeatReply& reply);
   void on_heartbeat_failed(core::Instant now, const core::Endpoint& from, std::uint64_t sequence);
   void on_revision_notice(core::Instant now, const core::Endpoint& from, protocol::Revision revision);
+  /// A control replica says that it is up. Matters only until the configuration is confirmed.
+  void on_control_announced(core::Instant now, const core::Endpoint& replica);
   void on_fetch_failed(core::Instant now, const core::Endpoint& from);
   /// A replica answered a fetch: what it knows is in the reply that is taken next. Call before
   /// take_fetch_reply.
@@ -168,6 +170,8 @@
 
 /// A heartbeat without an answer for this long has failed; the next replica is tried.
 inline constexpr core::Duration kHeartbeatTimeout = std::chrono::milliseconds(400);
+/// Replicas that announced themselves are taken up to this number of known ones: control has 9 at most today.
+inline constexpr std::size_t kMostKnownReplicas = 32;
 inline constexpr core::Duration kFetchTimeout = std::chrono::milliseconds(1500);
 /// Pause before the next replica is asked after a failure.
 inline constexpr core::Duration kReplicaRetryPause = std::chrono::milliseconds(50);
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -25,6 +25,8 @@
 constexpr core::Duration kHandOverLimit = std::chrono::seconds(3);
 constexpr core::Duration kFinishLimit = std::chrono::seconds(5);
 constexpr core::Duration kStopPoll = std::chrono::milliseconds(20);
+/// Looks for the applied state, which follows soon after the start, before daemons are told of it.
+constexpr int kLooksForState = 10;
 constexpr std::uint32_t kMillisPerSecond = 1000;
 
 /// Counts a request while it is in progress.
@@ -83,13 +85,13 @@
 awaitable<core::Result<void>> ControlServer::start() {
   logging::set_process(options_.name);
   auto disk = co_await start_disk(options_, peers_);
-  if (!disk) {
-    co_return disk.error();
   while (!disk && disk.error().kind == core::ErrorKind::kNoCapacity) {
     logging::logger("control")->error("event=disk_full_at_start {}", core::describe(disk.error()));
     co_await pause(kFullDiskRetryAtStart);
     disk = co_await start_disk(options_, peers_);
   }
+  if (!disk) {
+    co_return disk.error();
   }
   disk_ = std::move(disk.value());
   make_replica(disk_.storage->take_state());
@@ -104,6 +106,7 @@
     platform_->start();
   }
   boost::asio::co_spawn(io_, ask_to_join(), boost::asio::detached);
+  boost::asio::co_spawn(io_, announce(), boost::asio::detached);
   boost::asio::co_spawn(io_, keep_members_connected(), boost::asio::detached);
   co_return core::outcome::success();
 }
@@ -139,6 +142,8 @@
   daemons_ = std::make_unique<DaemonService>(*replica_, *duties_, [this](protocol::OperatorRequest request) {
     return serve_forwarded(std::move(request));
   });
+  announcer_ = std::make_unique<Announcer>(io_, options_.self().internal,
+                                           [this] { return daemons_->silent_daemons(); });
   if (options_.platform) {
     platform_ = std::make_unique<PlatformWatch>(io_, *options_.platform, options_.platform_interval,
                                                 *replica_, *duties_);
@@ -251,14 +256,14 @@
   if (stopping_) {
     return json_response(503, R"({"status":"stopping"})");
   }
+  if (replica_->without_room()) {
+    return json_response(503, R"({"status":"the disk is full"})");
+  }
   const raft::Node& node = replica_->node();
   if (node.membership().find(node.config().id) == nullptr) {
     return json_response(503, R"({"status":"joining"})");
   }
   if (!replica_->leading() && (!node.leader() || *node.leader() == node.config().id)) {
-  if (replica_->without_room()) {
-    return json_response(503, R"({"status":"the disk is full"})");
-  }
     return json_response(503, R"({"status":"no leader is known"})");
   }
   return json_response(200, R"({"status":"ready"})");
@@ -307,6 +312,15 @@
   }
 }
 
+awaitable<void> ControlServer::announce() {
+  for (int look = 0; look < kLooksForState && replica_->machine().configuration().revision == 0; ++look) {
+    co_await pause(kStopPoll);
+  }
+  if (!stopping_) {
+    co_await announcer_->run();
+  }
+}
+
 /// Messages of consensus are dropped while there is no connection. A candidate whose first requests only open
 /// connections would lose its election to nobody and wait for the next one.
 awaitable<void> ControlServer::keep_members_connected() {
@@ -323,6 +337,7 @@
 
 awaitable<void> ControlServer::stop() {
   stopping_ = true;
+  announcer_->stop();
   http_->stop_accepting();
   co_await hand_over_leadership();
   co_await finish_requests();
--- a/src/control/control_server.hpp
+++ b/src/control/control_server.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "control/announcer.hpp"
 #include "control/daemon_service.hpp"
 #include "control/disk_start.hpp"
 #include "control/leader_duties.hpp"
@@ -77,6 +78,7 @@
   boost::asio::awaitable<void> serve_operator(http::Request request, http::Responder respond);
   boost::asio::awaitable<protocol::OperatorReply> serve_forwarded(protocol::OperatorRequest request);
   boost::asio::awaitable<void> ask_to_join();
+  boost::asio::awaitable<void> announce();
   boost::asio::awaitable<void> keep_members_connected();
   boost::asio::awaitable<void> hand_over_leadership();
   boost::asio::awaitable<void> finish_requests();
@@ -94,6 +96,7 @@
   std::unique_ptr<LeaderDuties> duties_;
   std::unique_ptr<OperatorApi> operators_;
   std::unique_ptr<DaemonService> daemons_;
+  std::unique_ptr<Announcer> announcer_;
   std::unique_ptr<PlatformWatch> platform_;
   RevisionNotices notices_;
   std::unique_ptr<wire::Server> wire_;
--- a/src/control/daemon_service.cpp
+++ b/src/control/daemon_service.cpp
@@ -51,6 +51,23 @@
   std::erase_if(replica_peers_, [peer](const auto& entry) { return entry.second == peer; });
 }
 
+void DaemonService::note_heard(const core::DaemonId& daemon) {
+  // Only names that control has admitted: what comes over the network must not fill the set.
+  if (replica_.machine().configuration().daemons.contains(daemon)) {
+    heard_daemons_.insert(daemon);
+  }
+}
+
+std::vector<core::Endpoint> DaemonService::silent_daemons() const {
+  std::vector<core::Endpoint> silent;
+  for (const auto& [id, daemon] : replica_.machine().configuration().daemons) {
+    if (!heard_daemons_.contains(id)) {
+      silent.push_back(daemon.internal);
+    }
+  }
+  return silent;
+}
+
 std::optional<wire::PeerId> DaemonService::peer_of(const core::ControlId& replica) const {
   const auto found = replica_peers_.find(replica);
   return found == replica_peers_.end() ? std::nullopt : std::optional(found->second);
@@ -72,6 +89,7 @@
     return heartbeat.error();
   }
   daemon_peers_.insert(peer);
+  note_heard(heartbeat.value().daemon);
   ++heartbeats_;
   protocol::HeartbeatReply reply;
   reply.sequence = heartbeat.value().sequence;
@@ -92,6 +110,7 @@
     return request.error();
   }
   daemon_peers_.insert(peer);
+  note_heard(request.value().daemon);
   ++fetches_;
   return fetch_replies_.after(request.value().after);
 }
--- a/src/control/daemon_service.hpp
+++ b/src/control/daemon_service.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "control/fetch_replies.hpp"
 #include "control/leader_duties.hpp"
@@ -35,6 +36,9 @@
   [[nodiscard]] const std::set<wire::PeerId>& daemon_peers() const { return daemon_peers_; }
   /// The last connection on which a replica was heard; for answers to one whose endpoint is not known.
   [[nodiscard]] std::optional<wire::PeerId> peer_of(const core::ControlId& replica) const;
+  /// Internal endpoints of the configuration's daemons that have not asked this replica anything since its
+  /// start.
+  [[nodiscard]] std::vector<core::Endpoint> silent_daemons() const;
   /// Heartbeats answered since start.
   [[nodiscard]] std::uint64_t heartbeats() const { return heartbeats_; }
   /// Messages received since start, those of other replicas included.
@@ -48,12 +52,14 @@
   boost::asio::awaitable<core::Result<std::string>> on_forward(std::string body);
   boost::asio::awaitable<core::Result<std::string>> on_departure(std::string body);
   [[nodiscard]] core::Error not_leader() const;
+  void note_heard(const core::DaemonId& daemon);
 
   Replica& replica_;
   LeaderDuties& duties_;
   HandleForwarded handle_forwarded_;
   FetchReplies fetch_replies_;
   std::set<wire::PeerId> daemon_peers_;
+  std::set<core::DaemonId> heard_daemons_;  ///< Of those that the configuration names.
   std::map<core::ControlId, wire::PeerId> replica_peers_;
   std::uint64_t messages_ = 0;
   std::uint64_t heartbeats_ = 0;
--- a/src/protocol/control_messages.hpp
+++ b/src/protocol/control_messages.hpp
@@ -65,6 +65,13 @@
                  suspicions);
 };
 
+/// Datagram of a control replica that has started, to the daemons of its configuration: it may be asked.
+struct ControlAnnouncement {
+  core::Endpoint internal;
+
+  MSGPACK_DEFINE(internal);
+};
+
 /// Answer to a heartbeat. From the leader, the daemon's lease runs for lease_ms from the moment it SENT the
 /// heartbeat.
 struct HeartbeatReply {
--- a/tests/agent/session_test.cpp
+++ b/tests/agent/session_test.cpp
@@ -313,6 +313,35 @@
   EXPECT_TRUE(session_.configuration_confirmed());
 }
 
+TEST_F(SessionTest, AReplicaThatAnnouncesItselfIsProbedAtOnceWhileTheNamedOnesAreSilent) {
+  session_.tick(now_);
+  (void)taken_heartbeat();
+  probes_.clear();
+  session_.on_control_announced(now_, replica(9));
+  (void)taken_heartbeat();
+  ASSERT_EQ(probes_.size(), 1U) << "the named ones owe answers already";
+  EXPECT_EQ(probes_[0].to, replica(9));
+  session_.on_probe_ended(now_, replica(9), true);
+  (void)taken_heartbeat();
+  ASSERT_EQ(fetches_.size(), 1U);
+  EXPECT_EQ(fetches_[0].to, replica(9));
+}
+
+TEST_F(SessionTest, AnnouncementsDoNotFillTheMemoryNorMatterWithALease) {
+  for (std::uint16_t number = 10; number < 200; ++number) {
+    session_.on_control_announced(now_, replica(number));
+  }
+  (void)taken_heartbeat();
+  EXPECT_LE(probes_.size(), kMostKnownReplicas);
+  const auto sent = next_heartbeat();
+  session_.on_heartbeat_reply(now_, sent.to, grant(sent));
+  (void)taken_heartbeat();
+  probes_.clear();
+  session_.on_control_announced(now_, replica(300));
+  (void)taken_heartbeat();
+  EXPECT_TRUE(probes_.empty());
+}
+
 TEST_F(SessionTest, ADaemonThatLearnsOfItsAdmissionAsksForTheLeaseAtOnce) {
   const SendHeartbeat sent = next_heartbeat();
   protocol::HeartbeatReply reply = grant(sent);
