--- a/tests/control_world/mechanisms_test.cpp
+++ b/tests/control_world/mechanisms_test.cpp
@@ -38,7 +38,7 @@
     ::testing::Values(Case{Mechanism::kPreVote, 3, "The leader was disturbed when c1 came back from a cut"},
                       Case{Mechanism::kPreVote, 81,
                            "The leader was disturbed when c5 came back from a long silence"},
-                      Case{Mechanism::kCheckQuorum, 1040, "was still sure of its quorum"},
+                      Case{Mechanism::kCheckQuorum, 1892, "was still sure of its quorum"},
                       Case{Mechanism::kSyncBeforeSend, 2, "whose log lacks the committed entry"},
                       Case{Mechanism::kReadQuorum, 90, "A read showed revision"},
                       Case{Mechanism::kOneMembershipChange, 63, "was still sure of its quorum"},
--- a/tests/raft/cluster.hpp
+++ b/tests/raft/cluster.hpp
@@ -44,7 +44,8 @@
 
 class Cluster {
  public:
-  explicit Cluster(int count, bool open_membership = false) : open_membership_(open_membership) {
+  explicit Cluster(int count, bool open_membership = false, Mechanisms mechanisms = {})
+      : open_membership_(open_membership), mechanisms_(mechanisms) {
     for (int number = 1; number <= count; ++number) start(replica(number), bootstrap(voters(count), ""));
   }
 
@@ -54,6 +55,7 @@
     config.cluster = "test";
     config.trailing_entries = 2;
     config.open_membership = open_membership_;
+    config.mechanisms = mechanisms_;
     const auto seed = ++seed_;
     auto applied = split(disk.snapshot.state);
     replicas_.erase(id);
@@ -186,6 +188,7 @@
   std::set<core::ControlId> cut_;
   std::uint64_t seed_ = 0;
   bool open_membership_ = false;
+  Mechanisms mechanisms_;
 };
 
 /// A command list as a snapshot state.
--- a/tests/raft/node_test.cpp
+++ b/tests/raft/node_test.cpp
@@ -86,6 +86,33 @@
   EXPECT_TRUE(cluster.run_until([&] { return old.role() != Role::kLeader; }));
 }
 
+/// What check-quorum is for: a vote asked for while the leader is sure of its quorum, with and without it.
+class VoteBesideALeaderTest : public ::testing::TestWithParam<bool> {};
+
+TEST_P(VoteBesideALeaderTest, IsRefusedWithCheckQuorumOnly) {
+  const bool check_quorum = GetParam();
+  Mechanisms mechanisms;
+  mechanisms.check_quorum = check_quorum;
+  Cluster cluster(3, false, mechanisms);
+  const auto leader = cluster.elect().config().id;
+  const auto voter = other_than(leader);
+  const auto candidate = other_than(leader, 1);
+  cluster.run_for(milliseconds(500));
+  const Term term = cluster.node(leader).term();
+  const VoteRequest request{cluster.node(leader).log().last(), false};
+  cluster.node(voter).step(cluster.now, Message{"test", candidate, voter, term + 1, request});
+  ASSERT_TRUE(cluster.node(leader).has_quorum(cluster.now)) << "it heard from the voter just now";
+  EXPECT_EQ(cluster.node(voter).term(), check_quorum ? term : term + 1);
+  bool granted = false;
+  for (const Message& message : cluster.node(voter).take_ready().messages) {
+    const auto* reply = std::get_if<VoteReply>(&message.body);
+    granted = granted || (reply != nullptr && reply->granted);
+  }
+  EXPECT_EQ(granted, !check_quorum);
+}
+
+INSTANTIATE_TEST_SUITE_P(WithAndWithoutCheckQuorum, VoteBesideALeaderTest, ::testing::Bool());
+
 TEST(Node, LeaderWithoutQuorumStepsDownAlsoWhileReadsKeepComing) {
   Cluster cluster(3);
   auto& old = cluster.elect();
