--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -194,10 +194,10 @@
   return false;
 }
 
-// A replica that ended instead would be started again, and end again, as long as its disk is full: 5 and 6
-// ends in a day of 40 s with a full disk of 10 s. Waiting is safe for the same reason as a disk that stalls:
-// nothing that depends on the Ready is sent, and no answer is taken, so that its majority and its leases run
-// out.
+// A replica that ended instead would be started again, and end again, as long as its disk is full: 5 ends in
+// a day with a disk that was full for 3.8 s, measured on a fleet of 29 machines. Waiting is safe for the same
+// reason as a disk that stalls: nothing that depends on the Ready is sent, and no answer is taken, so that
+// its majority and its leases run out.
 void Replica::wait_for_room(raft::Ready ready, const core::Error& error) {
   if (!without_room()) {
     logging::logger("control")->error("event=disk_full leading={} {}", leading_, core::describe(error));
--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -23,7 +23,7 @@
 /// Weight of the newest latency in the average: one part in so many.
 constexpr int kLatencyWeight = 8;
 /// With each tick without an answer, one part in so many of what was learned is forgotten: half of it in 1.1
-/// s at a tick of 50 ms, about as long as databases stay slow after a crash or a start.
+/// s at a tick of 50 ms. The time is a guess; no other was measured.
 constexpr int kForgottenPart = 32;
 /// A borrowed connection stays open for this long after its last use, less where others are refused one.
 constexpr core::Duration kBorrowedIdleMax = std::chrono::milliseconds(1000);
--- a/src/raft/node_leader.cpp
+++ b/src/raft/node_leader.cpp
@@ -75,8 +75,8 @@
 }
 
 // What a member has not answered is not sent again: a member behind a cut would be sent up to an append's
-// worth with every heartbeat. A leader with 4 MB of entries behind it queued 67 MB towards four members
-// within 4 s, measured on a fleet of 29 machines; now it queues at most one append, or kReplicate's window,
+// worth with every heartbeat. Control's peak memory rose from 3 to 67 MB within 4 s of a cut, measured on
+// a fleet of 29 machines; now it queues at most one append, or kReplicate's window,
 // for each.
 void Node::send_entries(const core::ControlId& to, Progress& progress, bool heartbeat) {
   const bool probing = progress.state == ReplicationState::kProbe;
