Tell on-call why a daemon has no configuration: fetches begun, failed, bytes received

Cause: a daemon without routes logged one line at its start and nothing after; nobody could tell a transfer that never ends from replicas that don't answer. Change: event=without_configuration each second, fetch_failed (first and powers of two in a row), fetched; four counters.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "agent/configuration_store.hpp"
+#include "agent/fetch_log.hpp"
 #include "agent/session.hpp"
 #include "logging/logging.hpp"
 #include "storage/durable_file.hpp"
@@ -72,7 +73,8 @@
         options_(options),
         session_(std::move(options), std::move(configuration)),
         translate_(std::move(translate)),
-        log_(logging::logger("agent")) {}
+        log_(logging::logger("agent")),
+        fetch_log_(log_) {}
 
   void start() {
     asio::co_spawn(io_, run_ticks(weak_from_this(), io_), asio::detached);
@@ -88,12 +90,13 @@
   void add_callback(ChangeCallback callback) { callbacks_.push_back(std::move(callback)); }
   [[nodiscard]] std::uint64_t incarnation() const { return options_.incarnation; }
   [[nodiscard]] std::uint64_t control_bytes() const {
-    std::uint64_t bytes = 0;
+    std::uint64_t sent = 0;
     for (const auto& [peer, channel] : channels_) {
-      bytes += channel->bytes_received() + channel->bytes_sent();
+      sent += channel->bytes_sent();
     }
-    return bytes;
+    return sent + received_bytes();
   }
+  [[nodiscard]] const FetchCounters& fetch_counters() const { return fetch_log_.counters(); }
 
   /// Sends what the session has decided to send.
   void carry_out() {
@@ -151,8 +154,10 @@
       return false;
     }
     driver->renumber_when_superseded();
-    driver->session_.tick(core::BootClock::now());
+    const core::Instant now = core::BootClock::now();
+    driver->session_.tick(now);
     driver->carry_out();
+    driver->fetch_log_.tick(now, driver->session_.configuration().revision, driver->received_bytes());
     return true;
   }
 
@@ -174,6 +179,9 @@
 
   void send(SendFetch effect) {
     std::shared_ptr<wire::Channel> to = channel(effect.to);
+    if (!effect.probe) {
+      fetch_log_.on_begun(core::BootClock::now());
+    }
     asio::co_spawn(io_, send_fetch(weak_from_this(), std::move(to), std::move(effect)), asio::detached);
   }
 
@@ -203,14 +211,15 @@
 
   static asio::awaitable<void> send_fetch(std::weak_ptr<Driver> self, std::shared_ptr<wire::Channel> channel,
                                           SendFetch effect) {
+    const core::Instant sent = core::BootClock::now();
     std::string body = wire::pack(effect.request);
     const auto answer = co_await channel->call(wire::MessageType::kFetch, std::move(body), effect.timeout);
     if (const auto driver = self.lock()) {
-      driver->on_fetch_answer(effect, answer);
+      driver->on_fetch_answer(effect, sent, answer);
     }
   }
 
-  void on_fetch_answer(const SendFetch& effect, const core::Result<std::string>& answer) {
+  void on_fetch_answer(const SendFetch& effect, core::Instant sent, const core::Result<std::string>& answer) {
     const core::Instant now = core::BootClock::now();
     if (effect.probe) {
       session_.on_probe_ended(now, effect.to, answer.has_value());
@@ -220,6 +229,7 @@
     if (answer) {
       auto reply = wire::unpack_compact<protocol::FetchReply>(answer.value());
       if (reply) {
+        fetch_log_.on_completed(effect.to, now - sent, answer.value().size());
         session_.on_fetch_answered(effect.to);
         const protocol::FetchReply* fetched = session_.take_fetch_reply(now, std::move(reply.value()));
         if (fetched != nullptr) {
@@ -229,10 +239,20 @@
         return;
       }
     }
+    fetch_log_.on_failed(effect.to, now - sent,
+                         answer ? "The answer can't be read." : core::describe(answer.error()));
     session_.on_fetch_failed(now, effect.to);
     carry_out();
   }
 
+  [[nodiscard]] std::uint64_t received_bytes() const {
+    std::uint64_t bytes = 0;
+    for (const auto& [peer, channel] : channels_) {
+      bytes += channel->bytes_received();
+    }
+    return bytes;
+  }
+
   /// On disk first: a restart must not fall back behind a revision that was in force.
   void store_and_apply(const protocol::FetchReply& fetched) {
     if (!store(fetched)) {
@@ -276,6 +296,7 @@
   Session session_;
   TranslateEndpoint translate_;
   logging::Logger log_;
+  FetchLog fetch_log_;
   std::map<core::Endpoint, std::shared_ptr<wire::Channel>> channels_;
   std::unique_ptr<wire::DatagramListener> announcements_;
   std::vector<ChangeCallback> callbacks_;
@@ -329,6 +350,7 @@
     return driver_->session().newest_known();
   }
   [[nodiscard]] std::uint64_t control_bytes() const override { return driver_->control_bytes(); }
+  [[nodiscard]] const FetchCounters& fetch_counters() const override { return driver_->fetch_counters(); }
 
  private:
   static asio::awaitable<void> say_departure(asio::io_context& io, std::shared_ptr<Driver> driver,
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <vector>
 
+#include "agent/fetch_log.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
@@ -83,6 +84,8 @@
   [[nodiscard]] virtual protocol::Revision current_revision() const = 0;
   /// Bytes exchanged with control since start, both directions, frames included.
   [[nodiscard]] virtual std::uint64_t control_bytes() const = 0;
+  /// What became of the fetches of the configuration.
+  [[nodiscard]] virtual const FetchCounters& fetch_counters() const = 0;
 };
 
 }  // namespace pipitpond::agent
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -89,6 +89,16 @@
       .increment(number(counters.shown));
 }
 
+void add_fetches(metrics::Registry& registry, const agent::FetchCounters& fetches) {
+  const auto counter = [&registry](const std::string& name, const std::string& help, std::uint64_t value) {
+    registry.counter("pipitpond_pooling_configuration_" + name, help).increment(number(value));
+  };
+  counter("fetches_total", "Calls to control for the configuration.", fetches.begun);
+  counter("fetches_failed_total", "Of those, the ones that brought nothing in time.", fetches.failed);
+  counter("fetches_completed_total", "Answers that came whole.", fetches.completed);
+  counter("fetched_bytes_total", "Bytes of the answers that came whole.", fetches.bytes);
+}
+
 }  // namespace
 
 std::string metrics_page(const PoolingCounters& counters, const Backends& backends, const agent::Agent& agent,
@@ -105,6 +115,7 @@
   };
   registry.counter("pipitpond_pooling_log_lines_left_out_total", "Lines of the log that were not written.")
       .increment(number(logging::lines_left_out()));
+  add_fetches(registry, agent.fetch_counters());
   gauge("sessions", "Callers' sessions that are open.", number(sessions));
   gauge("ready", "1 while the daemon calls itself ready.", ready ? 1 : 0);
   gauge("lease_valid", "1 while control's lease is valid.",
--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -198,6 +198,7 @@
   [[nodiscard]] std::uint64_t incarnation() const override { return 1; }
   [[nodiscard]] protocol::Revision current_revision() const override { return 0; }
   [[nodiscard]] std::uint64_t control_bytes() const override { return 0; }
+  [[nodiscard]] const agent::FetchCounters& fetch_counters() const override { return fetch_counters_; }
 
   void set_configuration(protocol::Configuration configuration) {
     configuration_ = std::move(configuration);
@@ -210,6 +211,7 @@
  private:
   protocol::Configuration configuration_;
   ownership::OwnerTable owners_;
+  agent::FetchCounters fetch_counters_;
 };
 
 /// A statement with an id of its own.
--- a/tests/proxy/example_proxy.hpp
+++ b/tests/proxy/example_proxy.hpp
@@ -40,6 +40,7 @@
   [[nodiscard]] std::uint64_t incarnation() const override { return 1; }
   [[nodiscard]] protocol::Revision current_revision() const override { return configuration_.revision; }
   [[nodiscard]] std::uint64_t control_bytes() const override { return 0; }
+  [[nodiscard]] const agent::FetchCounters& fetch_counters() const override { return fetch_counters_; }
 
   /// Puts a configuration in force.
   void apply(protocol::Configuration configuration);
@@ -49,6 +50,7 @@
  private:
   protocol::Configuration configuration_;
   ownership::OwnerTable owners_;
+  agent::FetchCounters fetch_counters_;
   std::vector<agent::ChangeCallback> callbacks_;
 };
 
--- a/tests/requests/example_agent.hpp
+++ b/tests/requests/example_agent.hpp
@@ -48,12 +48,14 @@
   [[nodiscard]] std::uint64_t incarnation() const override { return incarnation_; }
   [[nodiscard]] protocol::Revision current_revision() const override { return configuration_.revision; }
   [[nodiscard]] std::uint64_t control_bytes() const override { return 0; }
+  [[nodiscard]] const agent::FetchCounters& fetch_counters() const override { return fetch_counters_; }
 
  private:
   core::DaemonId self_;
   std::uint64_t incarnation_;
   protocol::Configuration configuration_;
   ownership::OwnerTable owners_;
+  agent::FetchCounters fetch_counters_;
   std::vector<agent::ChangeCallback> callbacks_;
   std::vector<protocol::SuspicionReport> suspicions_;
   bool lease_ = true;
