Let fetches make progress over slow links: pages, late answers, limits that follow silence

Cause: a fetch had 1.5 s for the whole answer, kept nothing of it, and began anew at the next replica while the late answer still filled the link; probes (250 ms), heartbeats (400 ms) and connection attempts (400 ms) dropped what came later in the same way. On a link that is slower than these limits a daemon never got a configuration or a lease. Change: pages of 32 KB that another replica can go on with, one owed by each replica; a fetch is given up after 1.5 s of silence; overdue answers still count; slow connection attempts go on beside new ones; parts of a frame are a sign of life; a replica that asks a peer whether the cluster exists no longer fetches its configuration.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -6,20 +6,17 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include "agent/configuration_store.hpp"
-#include "agent/fetch_log.hpp"
+#include "agent/control_calls.hpp"
 #include "agent/session.hpp"
 #include "logging/logging.hpp"
 #include "storage/durable_file.hpp"
 #include "storage/file_disk.hpp"
-#include "wire/channel.hpp"
 #include "wire/codec.hpp"
-#include "wire/compact.hpp"
 #include "wire/datagram.hpp"
 
 namespace pipitpond::agent {
@@ -28,8 +25,6 @@
 
 namespace asio = boost::asio;
 
-using TranslateEndpoint = std::function<core::Endpoint(const core::Endpoint&)>;
-
 const std::string kIncarnationFile = "incarnation";
 /// Between two attempts to say farewell.
 constexpr core::Duration kDepartureRetryPause = std::chrono::milliseconds(100);
@@ -63,7 +58,7 @@
 }
 
 /// State shared by the agent and its running calls, which may outlive it.
-class Driver : public std::enable_shared_from_this<Driver> {
+class Driver : public ControlAnswers, public std::enable_shared_from_this<Driver> {
  public:
   Driver(asio::io_context& io, std::unique_ptr<storage::Disk> disk, std::optional<ConfigurationStore> store,
          SessionOptions options, protocol::Configuration configuration, TranslateEndpoint translate)
@@ -72,16 +67,20 @@
         store_(store),
         options_(options),
         session_(std::move(options), std::move(configuration)),
-        translate_(std::move(translate)),
         log_(logging::logger("agent")),
-        fetch_log_(log_) {}
+        calls_(std::make_shared<ControlCalls>(io, std::move(translate), log_)) {
+    calls_->set_answers(this);
+  }
+  ~Driver() override { calls_->close(); }
+  Driver(const Driver&) = delete;
+  Driver& operator=(const Driver&) = delete;
 
   void start() {
     asio::co_spawn(io_, run_ticks(weak_from_this(), io_), asio::detached);
     listen_for_announcements();
   }
   void close() {
-    channels_.clear();
+    calls_->close();
     announcements_.reset();
   }
 
@@ -89,19 +88,13 @@
   [[nodiscard]] const Session& session() const { return session_; }
   void add_callback(ChangeCallback callback) { callbacks_.push_back(std::move(callback)); }
   [[nodiscard]] std::uint64_t incarnation() const { return options_.incarnation; }
-  [[nodiscard]] std::uint64_t control_bytes() const {
-    std::uint64_t sent = 0;
-    for (const auto& [peer, channel] : channels_) {
-      sent += channel->bytes_sent();
-    }
-    return sent + received_bytes();
-  }
-  [[nodiscard]] const FetchCounters& fetch_counters() const { return fetch_log_.counters(); }
+  [[nodiscard]] const ControlCalls& calls() const { return *calls_; }
+  std::shared_ptr<wire::Channel> channel(const core::Endpoint& peer) { return calls_->channel(peer); }
 
   /// Sends what the session has decided to send.
   void carry_out() {
     for (Effect& effect : session_.take_effects()) {
-      std::visit([this](auto& one) { send(std::move(one)); }, effect);
+      std::visit([this](auto& one) { calls_->send(std::move(one)); }, effect);
     }
   }
 
@@ -124,17 +117,44 @@
     }
   }
 
-  std::shared_ptr<wire::Channel> channel(const core::Endpoint& peer) {
-    std::shared_ptr<wire::Channel>& channel = channels_[peer];
-    if (channel == nullptr) {
-      auto push = [self = weak_from_this(), peer](wire::MessageType type, const std::string& body) {
-        if (const auto driver = self.lock()) {
-          driver->on_push(peer, type, body);
-        }
-      };
-      channel = wire::Channel::create(io_, translate_ ? translate_(peer) : peer, std::move(push));
+  void on_heartbeat_reply(const core::Endpoint& from, const protocol::HeartbeatReply& reply) override {
+    session_.on_heartbeat_reply(core::BootClock::now(), from, reply);
+    carry_out();
+  }
+  void on_heartbeat_failed(const core::Endpoint& from, std::uint64_t sequence) override {
+    session_.on_heartbeat_failed(core::BootClock::now(), from, sequence);
+    carry_out();
+  }
+  void on_probe_ended(const core::Endpoint& from, bool answered) override {
+    session_.on_probe_ended(core::BootClock::now(), from, answered);
+    carry_out();
+  }
+  void on_fetch_failed(const core::Endpoint& from) override {
+    session_.on_fetch_failed(core::BootClock::now(), from);
+    carry_out();
+  }
+  void on_fetched(const core::Endpoint& from, FetchedAnswer answer) override {
+    if (answer.leads_to == answer.newest) {
+      session_.on_fetch_answered(from);
+    } else {
+      session_.on_newer_revision(answer.newest);
+    }
+    const protocol::FetchReply* fetched =
+        session_.take_fetch_reply(core::BootClock::now(), std::move(answer.reply));
+    if (fetched != nullptr) {
+      store_and_apply(*fetched);
+    }
+    carry_out();
+  }
+  void on_push(const core::Endpoint& from, wire::MessageType type, const std::string& body) override {
+    if (type != wire::MessageType::kRevisionNotice) {
+      return;
+    }
+    const auto notice = wire::unpack<protocol::RevisionNotice>(body);
+    if (notice) {
+      session_.on_revision_notice(core::BootClock::now(), from, notice.value().revision);
+      carry_out();
     }
-    return channel;
   }
 
  private:
@@ -157,7 +177,7 @@
     const core::Instant now = core::BootClock::now();
     driver->session_.tick(now);
     driver->carry_out();
-    driver->fetch_log_.tick(now, driver->session_.configuration().revision, driver->received_bytes());
+    driver->calls_->tick(now, driver->session_.configuration().revision);
     return true;
   }
 
@@ -172,87 +192,6 @@
     session_ = Session(options_, session_.configuration());
   }
 
-  void send(SendHeartbeat effect) {
-    std::shared_ptr<wire::Channel> to = channel(effect.to);
-    asio::co_spawn(io_, send_heartbeat(weak_from_this(), std::move(to), std::move(effect)), asio::detached);
-  }
-
-  void send(SendFetch effect) {
-    std::shared_ptr<wire::Channel> to = channel(effect.to);
-    if (!effect.probe) {
-      fetch_log_.on_begun(core::BootClock::now());
-    }
-    asio::co_spawn(io_, send_fetch(weak_from_this(), std::move(to), std::move(effect)), asio::detached);
-  }
-
-  static asio::awaitable<void> send_heartbeat(std::weak_ptr<Driver> self,
-                                              std::shared_ptr<wire::Channel> channel, SendHeartbeat effect) {
-    std::string body = wire::pack(effect.heartbeat);
-    const auto answer =
-        co_await channel->call(wire::MessageType::kHeartbeat, std::move(body), kHeartbeatTimeout);
-    if (const auto driver = self.lock()) {
-      driver->on_heartbeat_answer(effect, answer);
-    }
-  }
-
-  void on_heartbeat_answer(const SendHeartbeat& effect, const core::Result<std::string>& answer) {
-    const core::Instant now = core::BootClock::now();
-    if (answer) {
-      const auto reply = wire::unpack<protocol::HeartbeatReply>(answer.value());
-      if (reply) {
-        session_.on_heartbeat_reply(now, effect.to, reply.value());
-        carry_out();
-        return;
-      }
-    }
-    session_.on_heartbeat_failed(now, effect.to, effect.heartbeat.sequence);
-    carry_out();
-  }
-
-  static asio::awaitable<void> send_fetch(std::weak_ptr<Driver> self, std::shared_ptr<wire::Channel> channel,
-                                          SendFetch effect) {
-    const core::Instant sent = core::BootClock::now();
-    std::string body = wire::pack(effect.request);
-    const auto answer = co_await channel->call(wire::MessageType::kFetch, std::move(body), effect.timeout);
-    if (const auto driver = self.lock()) {
-      driver->on_fetch_answer(effect, sent, answer);
-    }
-  }
-
-  void on_fetch_answer(const SendFetch& effect, core::Instant sent, const core::Result<std::string>& answer) {
-    const core::Instant now = core::BootClock::now();
-    if (effect.probe) {
-      session_.on_probe_ended(now, effect.to, answer.has_value());
-      carry_out();
-      return;
-    }
-    if (answer) {
-      auto reply = wire::unpack_compact<protocol::FetchReply>(answer.value());
-      if (reply) {
-        fetch_log_.on_completed(effect.to, now - sent, answer.value().size());
-        session_.on_fetch_answered(effect.to);
-        const protocol::FetchReply* fetched = session_.take_fetch_reply(now, std::move(reply.value()));
-        if (fetched != nullptr) {
-          store_and_apply(*fetched);
-        }
-        carry_out();
-        return;
-      }
-    }
-    fetch_log_.on_failed(effect.to, now - sent,
-                         answer ? "The answer can't be read." : core::describe(answer.error()));
-    session_.on_fetch_failed(now, effect.to);
-    carry_out();
-  }
-
-  [[nodiscard]] std::uint64_t received_bytes() const {
-    std::uint64_t bytes = 0;
-    for (const auto& [peer, channel] : channels_) {
-      bytes += channel->bytes_received();
-    }
-    return bytes;
-  }
-
   /// On disk first: a restart must not fall back behind a revision that was in force.
   void store_and_apply(const protocol::FetchReply& fetched) {
     if (!store(fetched)) {
@@ -278,26 +217,13 @@
     return stored.has_value();
   }
 
-  void on_push(const core::Endpoint& peer, wire::MessageType type, const std::string& body) {
-    if (type != wire::MessageType::kRevisionNotice) {
-      return;
-    }
-    const auto notice = wire::unpack<protocol::RevisionNotice>(body);
-    if (notice) {
-      session_.on_revision_notice(core::BootClock::now(), peer, notice.value().revision);
-      carry_out();
-    }
-  }
-
   asio::io_context& io_;
   std::unique_ptr<storage::Disk> disk_;
   std::optional<ConfigurationStore> store_;  ///< Refers to disk_; empty without one.
   SessionOptions options_;
   Session session_;
-  TranslateEndpoint translate_;
   logging::Logger log_;
-  FetchLog fetch_log_;
-  std::map<core::Endpoint, std::shared_ptr<wire::Channel>> channels_;
+  std::shared_ptr<ControlCalls> calls_;
   std::unique_ptr<wire::DatagramListener> announcements_;
   std::vector<ChangeCallback> callbacks_;
 };
@@ -349,8 +275,10 @@
   [[nodiscard]] protocol::Revision current_revision() const override {
     return driver_->session().newest_known();
   }
-  [[nodiscard]] std::uint64_t control_bytes() const override { return driver_->control_bytes(); }
-  [[nodiscard]] const FetchCounters& fetch_counters() const override { return driver_->fetch_counters(); }
+  [[nodiscard]] std::uint64_t control_bytes() const override { return driver_->calls().bytes(); }
+  [[nodiscard]] const FetchCounters& fetch_counters() const override {
+    return driver_->calls().fetch_counters();
+  }
 
  private:
   static asio::awaitable<void> say_departure(asio::io_context& io, std::shared_ptr<Driver> driver,
--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -108,13 +108,19 @@
 
 void Session::send_heartbeat(core::Instant now) {
   next_heartbeat_ = now + protocol::kHeartbeatInterval;
-  SendHeartbeat effect{leader_guess(), heartbeat()};
+  SendHeartbeat effect{leader_guess(), heartbeat(), heartbeat_timeout()};
   // The lease counts from here, which is before the message leaves.
   sent_.emplace_back(effect.heartbeat.sequence, now);
   std::erase_if(sent_, [&](const auto& entry) { return now - entry.second > protocol::kDaemonLease; });
   effects_.emplace_back(std::move(effect));
 }
 
+// Follows the way: behind a link whose queue holds 0.8 s, every answer came after 0.4 s, and the daemon left
+// the leader each time.
+core::Duration Session::heartbeat_timeout() const {
+  return std::clamp(2 * reply_delay_, kHeartbeatTimeout, kMaxHeartbeatTimeout);
+}
+
 core::Endpoint Session::leader_guess() const {
   return leader_.has_value() ? *leader_ : control_[next_replica_ % control_.size()];
 }
@@ -128,6 +134,9 @@
   }
   const core::Instant sent_at = sent->second;
   sent_.erase(sent);
+  if (reply.sequence < answered_) {
+    return;  // A later heartbeat's answer came first: it tells all of this and newer.
+  }
   if (!reply.from_leader) {
     follow_hint(now, reply.leader);
     return;
@@ -140,7 +149,8 @@
   }
   leader_ = from;
   hints_followed_ = 0;
-  answered_ = std::max(answered_, reply.sequence);
+  answered_ = reply.sequence;
+  reply_delay_ = now - sent_at;
   take_control_list(reply.control);
   newest_known_ = std::max(newest_known_, reply.current);
   if (reply.lease_ms > 0) {
@@ -155,7 +165,7 @@
 }
 
 void Session::on_heartbeat_failed(core::Instant now, const core::Endpoint& from, std::uint64_t sequence) {
-  std::erase_if(sent_, [&](const auto& entry) { return entry.first == sequence; });
+  // The entry in sent_ stays: a lease that comes late runs from the sending too.
   const bool newer_answered = sequence < answered_;
   if (stopped_ || newer_answered || from != leader_guess()) {
     return;
@@ -242,7 +252,8 @@
 
 void Session::on_probe_ended(core::Instant now, const core::Endpoint& from, bool answered) {
   probes_.erase(from);
-  if (answered) {
+  const bool wanted = !informants_.contains(from) && !configuration_confirmed();
+  if (answered && wanted) {
     heard_.insert(from);
     fetch_from_heard(now);
   }
--- a/src/agent/session.hpp
+++ b/src/agent/session.hpp
@@ -2,6 +2,7 @@
 // sends what take_effects() returns and reports what came of it.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -14,16 +15,20 @@
 #include "ownership/budget_tracker.hpp"
 #include "protocol/configuration.hpp"
 #include "protocol/control_messages.hpp"
+#include "protocol/tunables.hpp"
 
 namespace pipitpond::agent {
 
-/// Send a heartbeat; report on_heartbeat_reply or on_heartbeat_failed within kHeartbeatTimeout.
+/// Send a heartbeat; report on_heartbeat_reply, or on_heartbeat_failed after `timeout`. A reply that comes
+/// later still counts.
 struct SendHeartbeat {
   core::Endpoint to;
   protocol::Heartbeat heartbeat;
+  core::Duration timeout{};
 };
 
-/// Fetch changes; report on_fetch_reply or on_fetch_failed within `timeout`.
+/// Fetch changes; report on_fetch_reply, or on_fetch_failed once nothing has come for `timeout`. What comes
+/// later still counts.
 struct SendFetch {
   core::Endpoint to;
   protocol::FetchRequest request;
@@ -71,7 +76,9 @@
   /// A replica answered a fetch: what it knows is in the reply that is taken next. Call before
   /// take_fetch_reply.
   void on_fetch_answered(const core::Endpoint& from) { informants_.insert(from); }
-  /// What came of a probe.
+  /// A replica has this revision, but the reply that is taken next leads to an earlier one.
+  void on_newer_revision(protocol::Revision revision) { newest_known_ = std::max(newest_known_, revision); }
+  /// What came of a probe: called with false once it is overdue, and with true also after that.
   void on_probe_ended(core::Instant now, const core::Endpoint& from, bool answered);
   /// Returns what is now to be stored durably on top of configuration(), if the reply brought anything newer;
   /// it stays valid until then. Then call apply_fetched, or drop_fetched if storing failed.
@@ -118,6 +125,7 @@
 
  private:
   [[nodiscard]] protocol::Heartbeat heartbeat();
+  [[nodiscard]] core::Duration heartbeat_timeout() const;
   void send_heartbeat(core::Instant now);
   void notice_standstill(core::Instant now);
   void try_next_replica(core::Instant now);
@@ -151,6 +159,7 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t answered_ = 0;  ///< Greatest sequence that the leader has answered.
   std::vector<std::pair<std::uint64_t, core::Instant>> sent_;  ///< Unanswered heartbeats: sequence, time.
+  core::Duration reply_delay_{0};                              ///< Of the leader's last reply.
   core::Instant next_heartbeat_;
   core::Instant lease_end_;
   core::Instant last_tick_;
@@ -168,10 +177,14 @@
   std::optional<protocol::FetchReply> fetched_;
 };
 
-/// A heartbeat without an answer for this long has failed; the next replica is tried.
+/// A heartbeat without an answer for this long, or for twice the time of the last answer if that is longer,
+/// is overdue; the next replica is tried.
 inline constexpr core::Duration kHeartbeatTimeout = std::chrono::milliseconds(400);
+/// Half of a lease: enough room for another replica's answer before the lease ends.
+inline constexpr core::Duration kMaxHeartbeatTimeout = protocol::kDaemonLease / 2;
 /// Replicas that announced themselves are taken up to this number of known ones: control has 9 at most today.
 inline constexpr std::size_t kMostKnownReplicas = 32;
+/// Another replica is asked when nothing has come for this long.
 inline constexpr core::Duration kFetchTimeout = std::chrono::milliseconds(1500);
 /// Pause before the next replica is asked after a failure.
 inline constexpr core::Duration kReplicaRetryPause = std::chrono::milliseconds(50);
@@ -183,7 +196,7 @@
 inline constexpr core::Duration kReplicaProbeInterval = std::chrono::milliseconds(25);
 /// Pause before all are asked again, when none had anything to tell.
 inline constexpr core::Duration kReplicaProbeRest = std::chrono::milliseconds(100);
-/// A probe without an answer for this long is sent again.
+/// A probe without an answer for this long is sent again; the first answer counts.
 inline constexpr core::Duration kReplicaProbeTimeout = std::chrono::milliseconds(250);
 
 }  // namespace pipitpond::agent
--- a/src/control/daemon_service.cpp
+++ b/src/control/daemon_service.cpp
@@ -112,7 +112,9 @@
   daemon_peers_.insert(peer);
   note_heard(request.value().daemon);
   ++fetches_;
-  return fetch_replies_.after(request.value().after);
+  const protocol::FetchPage page = fetch_replies_.page(request.value());
+  fetch_bytes_ += page.bytes.size();
+  return wire::pack(page);
 }
 
 awaitable<core::Result<std::string>> DaemonService::on_forward(std::string body) {
--- a/src/control/daemon_service.hpp
+++ b/src/control/daemon_service.hpp
@@ -44,6 +44,7 @@
   /// Messages received since start, those of other replicas included.
   [[nodiscard]] std::uint64_t messages() const { return messages_; }
   [[nodiscard]] std::uint64_t fetches() const { return fetches_; }
+  [[nodiscard]] std::uint64_t fetch_bytes() const { return fetch_bytes_; }
 
  private:
   core::Result<std::string> on_raft(wire::PeerId peer, const std::string& body);
@@ -64,6 +65,7 @@
   std::uint64_t messages_ = 0;
   std::uint64_t heartbeats_ = 0;
   std::uint64_t fetches_ = 0;
+  std::uint64_t fetch_bytes_ = 0;
 };
 
 /// Where the current leader is reached by other processes of the fleet; empty when none is known.
--- a/src/control/fetch_replies.cpp
+++ b/src/control/fetch_replies.cpp
@@ -1,10 +1,13 @@
 #include "control/fetch_replies.hpp"
 
+#include <algorithm>
+#include <utility>
+
 #include "wire/compact.hpp"
 
 namespace pipitpond::control {
 
-const std::string& FetchReplies::after(protocol::Revision after) {
+FetchReplies::Bytes FetchReplies::current_reply(protocol::Revision after) {
   const protocol::Revision current = machine_.configuration().revision;
   if (current != current_ || packed_.size() >= kMaxKeptReplies) {
     packed_.clear();
@@ -12,9 +15,54 @@
   }
   const auto [found, is_new] = packed_.try_emplace(after);
   if (is_new) {
-    found->second = wire::pack_compact(machine_.changes_after(after));
+    found->second = std::make_shared<const std::string>(wire::pack_compact(machine_.changes_after(after)));
   }
   return found->second;
 }
 
+protocol::FetchPage FetchReplies::page(const protocol::FetchRequest& request) {
+  protocol::FetchPage page;
+  page.newest = machine_.configuration().revision;
+  Bytes bytes = transfer_of(request);
+  if (bytes) {
+    page.revision = request.transfer;
+    page.offset = request.offset;
+  } else {
+    bytes = current_reply(request.after);
+    page.revision = page.newest;
+    if (bytes->size() > kFetchPageBytes) {
+      keep(Transfer{request.after, page.revision, bytes});
+    }
+  }
+  page.total = bytes->size();
+  page.bytes = bytes->substr(page.offset, kFetchPageBytes);
+  return page;
+}
+
+FetchReplies::Bytes FetchReplies::transfer_of(const protocol::FetchRequest& request) {
+  const auto found = std::find_if(transfers_.begin(), transfers_.end(), [&request](const Transfer& one) {
+    return one.after == request.after && one.revision == request.transfer;
+  });
+  if (found == transfers_.end() || request.offset >= found->bytes->size()) {
+    return nullptr;
+  }
+  std::rotate(found, found + 1, transfers_.end());
+  return transfers_.back().bytes;
+}
+
+void FetchReplies::keep(Transfer transfer) {
+  const bool kept = std::any_of(transfers_.begin(), transfers_.end(), [&transfer](const Transfer& one) {
+    return one.after == transfer.after && one.revision == transfer.revision;
+  });
+  if (kept) {
+    return;
+  }
+  transfer_bytes_ += transfer.bytes->size();
+  transfers_.push_back(std::move(transfer));
+  while (transfer_bytes_ > kMaxTransferBytes && transfers_.size() > 1) {
+    transfer_bytes_ -= transfers_.front().bytes->size();
+    transfers_.pop_front();
+  }
+}
+
 }  // namespace pipitpond::control
--- a/src/control/metrics.cpp
+++ b/src/control/metrics.cpp
@@ -37,6 +37,8 @@
       .increment(number(daemons.heartbeats()));
   registry.counter("pipitpond_control_fetches_total", "Configuration fetches answered.")
       .increment(number(daemons.fetches()));
+  registry.counter("pipitpond_control_fetch_bytes_total", "Bytes of the pages of the configuration sent.")
+      .increment(number(daemons.fetch_bytes()));
   registry.counter("pipitpond_control_wire_messages_total", "Messages received over the internal protocol.")
       .increment(number(daemons.messages()));
   registry.counter("pipitpond_control_wire_bytes_received_total", "Bytes received over it.")
--- a/src/control/peer_channels.cpp
+++ b/src/control/peer_channels.cpp
@@ -1,7 +1,8 @@
 #include "control/peer_channels.hpp"
 
+#include <limits>
+
 #include "wire/codec.hpp"
-#include "wire/compact.hpp"
 #include "wire/message_type.hpp"
 
 namespace pipitpond::control {
@@ -61,20 +62,18 @@
 
 awaitable<core::Result<protocol::Revision>> PeerChannels::revision_of(core::Endpoint peer,
                                                                       core::Duration timeout) {
-  const protocol::FetchRequest request;
+  // Asks for nothing: the answer names the peer's revision all the same, and is short.
+  protocol::FetchRequest request;
+  request.after = std::numeric_limits<protocol::Revision>::max();
   const auto body = co_await channel(peer).call(MessageType::kFetch, wire::pack(request), timeout);
   if (!body) {
     co_return body.error();
   }
-  const auto reply = wire::unpack_compact<protocol::FetchReply>(body.value());
-  if (!reply) {
-    co_return reply.error();
-  }
-  if (reply.value().snapshot) {
-    co_return reply.value().snapshot->revision;
+  const auto page = wire::unpack<protocol::FetchPage>(body.value());
+  if (!page) {
+    co_return page.error();
   }
-  const auto& changes = reply.value().changes;
-  co_return changes.empty() ? protocol::Revision{0} : changes.back().revision;
+  co_return page.value().newest;
 }
 
 }  // namespace pipitpond::control
--- a/src/protocol/control_messages.hpp
+++ b/src/protocol/control_messages.hpp
@@ -93,12 +93,27 @@
                  known_incarnation);
 };
 
-/// Asks any control replica for what follows `after`.
+/// Asks any control replica for a page of what follows `after`.
 struct FetchRequest {
   core::DaemonId daemon;
   Revision after = 0;
+  /// Revision that the answer leads to of which pages have come already; 0: none has.
+  Revision transfer = 0;
+  std::uint64_t offset = 0;  ///< Bytes of that answer that have come.
 
-  MSGPACK_DEFINE(daemon, after);
+  MSGPACK_DEFINE(daemon, after, transfer, offset);
+};
+
+/// Part of the bytes of a FetchReply, packed by wire::pack_compact. A replica that no longer has the answer of
+/// which pages were asked begins another one at offset 0.
+struct FetchPage {
+  Revision revision = 0;  ///< That the answer leads to.
+  Revision newest = 0;    ///< The replica's revision when it sent the page.
+  std::uint64_t total = 0;
+  std::uint64_t offset = 0;
+  std::string bytes;
+
+  MSGPACK_DEFINE(revision, newest, total, offset, bytes);
 };
 
 /// Changes in order, or the whole configuration when `after` is too old. Both empty: nothing newer here.
--- a/src/wire/channel.cpp
+++ b/src/wire/channel.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <optional>
 #include <pcg_random.hpp>
@@ -33,9 +34,16 @@
 constexpr auto kMinConnectTimeout = std::chrono::milliseconds(100);
 constexpr auto kMaxConnectTimeout = std::chrono::milliseconds(400);
 constexpr int kQuickAttempts = 6;
+/// An attempt that its calls no longer wait for goes on beside later ones for this long. On a link whose
+/// queue holds a second of traffic no attempt of 0.4 s ever ended, and a daemon that started there found no
+/// control.
+constexpr auto kAttemptLimit = std::chrono::seconds(3);
+/// Attempts to one peer that go on at the same time; the oldest makes room.
+constexpr std::size_t kMostAttempts = 4;
 constexpr auto kMinBackoff = std::chrono::milliseconds(25);
 constexpr auto kMaxBackoff = std::chrono::milliseconds(250);
-/// A peer that has not answered a ping for this long is gone.
+/// A peer of which nothing came for this long after a ping is gone. Parts of a long frame count: one of 180
+/// KB takes 3 s on a link of 0.5 Mbit/s, and the connection was closed in the middle of it.
 constexpr auto kPongTimeout = std::chrono::seconds(3);
 
 /// One call that waits for its answer.
@@ -53,6 +61,15 @@
   }
 };
 
+/// One try to open a connection.
+struct ConnectAttempt {
+  explicit ConnectAttempt(asio::io_context& io) : socket(io), ended(io) {}
+
+  tcp::socket socket;
+  asio::steady_timer ended;  ///< Cancelled at the attempt's end.
+  bool done = false;
+};
+
 /// Error that a peer's handler returned. The kind is checked: it came over the network.
 core::Error unpack_error(const std::string& body) {
   auto unpacked = unpack<Failure>(body);
@@ -108,6 +125,16 @@
     }
   }
 
+  /// Is the peer merely slow, or gone in silence?
+  void probe() {
+    if (!stream_ || awaiting_pong_) {
+      return;
+    }
+    awaiting_pong_ = true;
+    stream_->send({FrameKind::kPing, 0, MessageType::kRaft, {}});
+    wait_for_sign_of_life();
+  }
+
   void shut_down() {
     stopped_ = true;
     push_ = {};
@@ -149,19 +176,75 @@
     return true;
   }
 
+  /// Waits for a new attempt as long as the calls do. An attempt that takes longer goes on by itself.
   static asio::awaitable<void> run_connection(Self self) {
-    std::optional<tcp::socket> socket = co_await connect(self);
+    const auto attempt = std::make_shared<ConnectAttempt>(self->io_);
+    self->keep(attempt);
+    asio::co_spawn(self->io_, run_attempt(self, attempt), asio::detached);
+    error_code ignored;
+    attempt->ended.expires_after(self->connect_timeout_);
+    if (!attempt->done) {
+      co_await attempt->ended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
     self->connecting_ = false;
-    if (!socket || self->stopped_) {
-      self->back_off();
-      self->finish_all();
+    if (self->stream_) {
       co_return;
     }
+    if (!attempt->done) {
+      self->note_slow_attempt();
+    }
+    self->back_off();
+    self->finish_all();
+  }
+
+  void keep(const std::shared_ptr<ConnectAttempt>& attempt) {
+    if (attempts_.size() >= kMostAttempts) {
+      error_code ignored;
+      attempts_.front()->socket.close(ignored);
+      attempts_.pop_front();
+    }
+    attempts_.push_back(attempt);
+  }
+
+  static asio::awaitable<void> run_attempt(Self self, std::shared_ptr<ConnectAttempt> attempt) {
+    const bool connected = co_await connect(self, attempt);
+    attempt->done = true;
+    std::erase(self->attempts_, attempt);
+    const bool wanted = connected && !self->stopped_ && !self->stream_;
+    if (wanted) {
+      self->stream_ = std::make_shared<FrameStream>(std::move(attempt->socket), self->counters_);
+    }
+    attempt->ended.cancel();
+    if (wanted) {
+      co_await serve(self, self->stream_);
+    }
+  }
+
+  static asio::awaitable<bool> connect(Self self, std::shared_ptr<ConnectAttempt> attempt) {
+    error_code error;
+    const auto address = asio::ip::make_address(self->peer_.address, error);
+    if (error) {
+      co_return false;
+    }
+    asio::steady_timer limit(self->io_, kAttemptLimit);
+    limit.async_wait([attempt](const error_code& cancelled) {
+      if (!cancelled) {
+        error_code ignored;
+        attempt->socket.close(ignored);
+      }
+    });
+    co_await attempt->socket.async_connect(tcp::endpoint(address, self->peer_.port),
+                                           asio::redirect_error(asio::use_awaitable, error));
+    limit.cancel();
+    co_return !error && attempt->socket.is_open();
+  }
+
+  /// Sends what waits and reads until the connection is lost.
+  static asio::awaitable<void> serve(Self self, std::shared_ptr<FrameStream> stream) {
     self->backoff_ = kMinBackoff;
     self->connect_timeout_ = kMinConnectTimeout;
     self->slow_attempts_ = 0;
-    const auto stream = std::make_shared<FrameStream>(std::move(*socket), self->counters_);
-    self->stream_ = stream;
+    self->close_attempts();
     self->send_waiting();
     while (true) {
       std::optional<Frame> frame = co_await stream->read();
@@ -173,30 +256,12 @@
     self->lose(stream);
   }
 
-  static asio::awaitable<std::optional<tcp::socket>> connect(Self self) {
-    error_code error;
-    const auto address = asio::ip::make_address(self->peer_.address, error);
-    if (error) {
-      co_return std::nullopt;
-    }
-    const auto socket = std::make_shared<tcp::socket>(self->io_);
-    asio::steady_timer limit(self->io_, self->connect_timeout_);
-    limit.async_wait([socket, self](const error_code& cancelled) {
-      if (!cancelled) {
-        self->note_slow_attempt();
-        error_code ignored;
-        socket->close(ignored);
-      }
-    });
-    self->connecting_socket_ = socket;
-    co_await socket->async_connect(tcp::endpoint(address, self->peer_.port),
-                                   asio::redirect_error(asio::use_awaitable, error));
-    limit.cancel();
-    self->connecting_socket_.reset();
-    if (error || !socket->is_open()) {
-      co_return std::nullopt;
+  void close_attempts() {
+    for (const auto& attempt : attempts_) {
+      error_code ignored;
+      attempt->socket.close(ignored);
     }
-    co_return std::move(*socket);
+    attempts_.clear();
   }
 
   void note_slow_attempt() {
@@ -239,20 +304,21 @@
     }
   }
 
-  /// After a call timed out: is the peer merely slow, or gone in silence?
-  void probe() {
-    if (!stream_ || awaiting_pong_) {
-      return;
-    }
-    awaiting_pong_ = true;
-    stream_->send({FrameKind::kPing, 0, MessageType::kRaft, {}});
+  void wait_for_sign_of_life() {
+    const std::uint64_t received = counters_->received;
     pong_timer_.expires_after(kPongTimeout);
-    pong_timer_.async_wait([weak = weak_from_this(), probed = stream_](const error_code& cancelled) {
-      const auto self = weak.lock();
-      if (!cancelled && self && self->awaiting_pong_ && self->stream_ == probed) {
-        probed->close();
-      }
-    });
+    pong_timer_.async_wait(
+        [weak = weak_from_this(), probed = stream_, received](const error_code& cancelled) {
+          const auto self = weak.lock();
+          if (cancelled || !self || !self->awaiting_pong_ || self->stream_ != probed) {
+            return;
+          }
+          if (self->counters_->received != received) {
+            self->wait_for_sign_of_life();
+          } else {
+            probed->close();
+          }
+        });
   }
 
   void lose(const std::shared_ptr<FrameStream>& stream) {
@@ -267,10 +333,7 @@
 
   void drop_connection() {
     pong_timer_.cancel();
-    if (connecting_socket_) {
-      error_code ignored;
-      connecting_socket_->close(ignored);
-    }
+    close_attempts();
     if (stream_) {
       stream_->close();
       stream_.reset();
@@ -306,8 +369,8 @@
   pcg32 random_;
   asio::steady_timer pong_timer_;
   std::shared_ptr<ByteCounters> counters_ = std::make_shared<ByteCounters>();
-  std::shared_ptr<FrameStream> stream_;  ///< Set while connected.
-  std::shared_ptr<tcp::socket> connecting_socket_;
+  std::shared_ptr<FrameStream> stream_;                   ///< Set while connected.
+  std::deque<std::shared_ptr<ConnectAttempt>> attempts_;  ///< Oldest first.
   std::map<std::uint64_t, std::shared_ptr<PendingCall>> pending_;
   std::uint64_t last_call_ = 0;
   bool connecting_ = false;
@@ -331,6 +394,7 @@
     return ChannelState::call(state_, type, std::move(body), timeout);
   }
   void connect() override { state_->connect(); }
+  void check_alive() override { state_->probe(); }
   void notify(MessageType type, std::string body) override { state_->notify(type, std::move(body)); }
   [[nodiscard]] std::uint64_t bytes_received() const override { return state_->counters().received; }
   [[nodiscard]] std::uint64_t bytes_sent() const override { return state_->counters().sent; }
--- a/src/wire/channel.hpp
+++ b/src/wire/channel.hpp
@@ -36,6 +36,10 @@
   /// Begins to connect, unless it is connected or resting after a failed attempt. One-way messages that are
   /// sent before the connection is there are dropped.
   virtual void connect() = 0;
+  /// Asks the peer for a sign of life, and closes the connection when nothing comes for 3 s. A call that runs
+  /// into its time limit does so by itself; use it for calls that may last longer than the peer should be
+  /// silent.
+  virtual void check_alive() = 0;
   /// Sends a one-way message; dropped when not connected (a connect is then started) or the queue is full.
   virtual void notify(MessageType type, std::string body) = 0;
 
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -8,7 +8,7 @@
 enum class MessageType : std::uint16_t {
   kRaft = 1,            ///< raft::Message, one-way, control to control.
   kHeartbeat = 2,       ///< protocol::Heartbeat -> protocol::HeartbeatReply, daemon to control leader.
-  kFetch = 3,           ///< protocol::FetchRequest -> protocol::FetchReply, daemon to any control replica.
+  kFetch = 3,           ///< protocol::FetchRequest -> protocol::FetchPage, daemon to any control replica.
   kRevisionNotice = 4,  ///< protocol::RevisionNotice, one-way, control to connected daemons.
   kForward = 5,         ///< protocol::ForwardRequest -> protocol::ForwardReply, daemon to owner daemon.
   kControlForward = 6,  ///< protocol::OperatorRequest -> protocol::OperatorReply, control to leader.
--- a/tests/agent/agent_test.cpp
+++ b/tests/agent/agent_test.cpp
@@ -75,7 +75,12 @@
       ++departures_;
       co_return wire::pack(protocol::Acknowledgement{});
     }
-    co_return wire::pack_compact(on_fetch(wire::unpack<protocol::FetchRequest>(body).value()));
+    protocol::FetchPage page;
+    page.bytes = wire::pack_compact(on_fetch(wire::unpack<protocol::FetchRequest>(body).value()));
+    page.total = page.bytes.size();
+    page.revision = changes_.size();
+    page.newest = page.revision;
+    co_return wire::pack(page);
   }
 
   protocol::HeartbeatReply on_heartbeat(const protocol::Heartbeat& heartbeat) {
--- a/tests/control/fetch_replies_test.cpp
+++ b/tests/control/fetch_replies_test.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+#include <random>
+#include <string>
+
 #include "protocol/control_messages.hpp"
 #include "wire/compact.hpp"
 
@@ -16,6 +20,20 @@
     ASSERT_FALSE(machine_.apply(++index_, command).error);
   }
 
+  /// Two policies, as two revisions, whose texts hardly compress.
+  void put_long_policies() {
+    std::mt19937_64 random(1);
+    for (const char* name : {"first", "second"}) {
+      configuration::PutPolicy put{core::PolicyName(name), "-- "};
+      while (put.source.size() < 60'000) {
+        put.source.push_back(static_cast<char>('!' + random() % ('~' - '!')));
+      }
+      configuration::Command command;
+      command.operation = std::move(put);
+      ASSERT_FALSE(machine_.apply(++index_, command).error);
+    }
+  }
+
   protocol::FetchReply after(protocol::Revision revision) {
     return wire::unpack_compact<protocol::FetchReply>(replies_.after(revision)).value();
   }
@@ -46,5 +64,48 @@
   }
 }
 
+/// All pages of the answer that begins with `page`, as a daemon asks for them.
+std::string collect(FetchReplies& replies, protocol::FetchPage page) {
+  std::string bytes = page.bytes;
+  while (bytes.size() < page.total) {
+    const protocol::FetchRequest request{core::DaemonId("d"), 0, page.revision, bytes.size()};
+    page = replies.page(request);
+    EXPECT_EQ(page.offset, bytes.size());
+    bytes += page.bytes;
+  }
+  return bytes;
+}
+
+TEST_F(FetchRepliesTest, ALongAnswerComesInPagesThoughTheRevisionGrowsMeanwhile) {
+  put_long_policies();
+  const std::string whole = replies_.after(0);
+  ASSERT_GT(whole.size(), 2 * kFetchPageBytes);
+  const protocol::FetchPage first = replies_.page({core::DaemonId("d"), 0, 0, 0});
+  EXPECT_EQ(first.bytes.size(), kFetchPageBytes);
+  EXPECT_EQ(first.revision, first.newest);
+  put_zone("a");
+  const protocol::FetchPage second = replies_.page({core::DaemonId("d"), 0, first.revision, kFetchPageBytes});
+  EXPECT_EQ(second.revision, first.revision);
+  EXPECT_EQ(second.newest, first.revision + 1);
+  EXPECT_EQ(collect(replies_, first), whole);
+}
+
+TEST_F(FetchRepliesTest, AnAnswerThatIsNotKeptBeginsAnew) {
+  put_long_policies();
+  const protocol::FetchPage page = replies_.page({core::DaemonId("d"), 0, 77, 5000});
+  EXPECT_EQ(page.offset, 0U);
+  EXPECT_EQ(page.revision, 2U);
+  const protocol::FetchPage beyond = replies_.page({core::DaemonId("d"), 0, 2, 1UL << 40U});
+  EXPECT_EQ(beyond.offset, 0U) << "an offset over the end";
+}
+
+TEST_F(FetchRepliesTest, AReplicaThatIsAskedForNothingNamesItsRevision) {
+  put_zone("a");
+  const protocol::FetchPage page =
+      replies_.page({core::DaemonId("d"), std::numeric_limits<protocol::Revision>::max(), 0, 0});
+  EXPECT_EQ(page.newest, 1U);
+  EXPECT_EQ(page.total, page.bytes.size());
+}
+
 }  // namespace
 }  // namespace pipitpond::control
--- a/tests/recovery/control_replicas.cpp
+++ b/tests/recovery/control_replicas.cpp
@@ -48,7 +48,7 @@
   if (type == wire::MessageType::kHeartbeat) {
     co_return wire::pack(on_heartbeat(wire::unpack<protocol::Heartbeat>(body).value()));
   }
-  co_return fetch_replies_.after(wire::unpack<protocol::FetchRequest>(body).value().after);
+  co_return wire::pack(fetch_replies_.page(wire::unpack<protocol::FetchRequest>(body).value()));
 }
 
 protocol::HeartbeatReply ControlReplica::on_heartbeat(const protocol::Heartbeat& heartbeat) const {
--- a/tests/recovery/recovery_test.cpp
+++ b/tests/recovery/recovery_test.cpp
@@ -123,6 +123,41 @@
   EXPECT_LT(figures.seconds, 1.5 * figures.bytes_each / (kSlowLink / 2) + 1);
 }
 
+TEST(Recovery, AConnectionThatBreaksCostsAPageAndNotAllThatHasCome) {
+  // The whole configuration takes 3 s here and no connection lives for longer than 1 s.
+  boost::asio::io_context io;
+  ControlReplicas control(io);
+  control.put_routes(3200);
+  LinkedDaemon daemon(io, 0, control.endpoints(), LinkRate{kSlowLink, 0, core::Duration(0)});
+  constexpr int kMostBreaks = 8;
+  int breaks = 0;
+  while (breaks < kMostBreaks && !run_until(
+                                     io, [&] { return daemon.has_routes(); }, seconds(1))) {
+    daemon.link().reset_connections();
+    ++breaks;
+  }
+  EXPECT_TRUE(daemon.has_routes());
+  EXPECT_GE(breaks, 2);
+  std::cout << "recovery: breaks=" << breaks << " bytes_delivered=" << daemon.link().bytes_delivered()
+            << "\n";
+}
+
+TEST(Recovery, ChangesThatComeFasterThanTheConfigurationIsSentDoNotBeginItAnew) {
+  boost::asio::io_context io;
+  ControlReplicas control(io);
+  control.put_routes(3200);
+  LinkedDaemon daemon(io, 0, control.endpoints(), LinkRate{kSlowLink, 0, core::Duration(0)});
+  constexpr int kChanges = 60;
+  int changes = 0;
+  while (changes < kChanges && !run_until(
+                                   io, [&] { return daemon.has_routes(); }, milliseconds(100))) {
+    control.put_routes(3200);
+    ++changes;
+  }
+  EXPECT_TRUE(daemon.has_routes());
+  EXPECT_GE(changes, 10) << "more than one change came during the transfer";
+}
+
 TEST(Recovery, ALinkOnWhichAnAnswerTakesLongerThanEachTimeLimitStillBringsRoutesAndALease) {
   boost::asio::io_context io;
   ControlReplicas control(io);
