Soak: a lost disk with all power gone at the end, storms of changes, series of signals, larger fleets

Each run now ends with what must be borne at worst: right after an acknowledged change one control replica loses its disk and all other processes lose power; every proxy must serve writes within 7.5 s, and the change must be held. Kept seeds 1 and 2 play other histories than before, for more is drawn.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -19,6 +19,9 @@
 /// would be one more than three replicas bear.
 constexpr auto kCatchUp = std::chrono::seconds(6);
 constexpr auto kSupervisorInterval = milliseconds(300);
+constexpr auto kStormInterval = milliseconds(80);
+constexpr auto kSeriesInterval = milliseconds(150);
+constexpr auto kDarkTime = milliseconds(800);
 constexpr auto kStopLimit = std::chrono::seconds(10);
 constexpr auto kDeathLimit = std::chrono::seconds(5);
 
@@ -88,6 +91,8 @@
     active = active_.erase(active);
   }
   restart_ended(now);
+  step_storm(now);
+  step_series(now);
   if (now >= next_ && active_.size() < kMostAtOnce) {
     begin(now);
     next_ = now + milliseconds(200 + draw(900));
@@ -141,7 +146,7 @@
 }
 
 void SoakFaults::begin(core::Instant now) {
-  switch (draw(12)) {
+  switch (draw(14)) {
     case 0:
     case 1:
     case 2:
@@ -163,12 +168,78 @@
     case 10:
       hit_link(now);
       break;
+    case 11:
+      begin_storm(now);
+      break;
+    case 12:
+      begin_series(now);
+      break;
     default:
       change_configuration();
       break;
   }
 }
 
+void SoakFaults::begin_storm(core::Instant now) {
+  told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: changes in quick succession");
+  storm_ends_ = now + milliseconds(500 + draw(2500));
+}
+
+void SoakFaults::step_storm(core::Instant now) {
+  if (now >= storm_ends_ || now < next_storm_change_) {
+    return;
+  }
+  next_storm_change_ = now + kStormInterval;
+  change_configuration();
+}
+
+void SoakFaults::begin_series(core::Instant now) {
+  told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: a series of signals to proxies");
+  left_in_series_ = 2 + draw(2 * fleet_.proxies());
+}
+
+void SoakFaults::step_series(core::Instant now) {
+  if (left_in_series_ == 0 || now < next_of_series_) {
+    return;
+  }
+  next_of_series_ = now + kSeriesInterval;
+  --left_in_series_;
+  hit_proxy(now);
+}
+
+void SoakFaults::wait_until_disks_caught_up() {
+  const auto left = std::chrono::duration_cast<milliseconds>(next_lost_disk_ - core::BootClock::now());
+  fleet_.pause(std::max(left, milliseconds(0)));
+}
+
+void SoakFaults::lose_a_disk_and_all_power() {
+  const core::Instant now = core::BootClock::now();
+  change_configuration();
+  const std::size_t lost = draw(fleet_.controls());
+  told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: all lose power, control " +
+                  std::to_string(lost) + " its disk");
+  for (std::size_t number = 0; number < fleet_.controls(); ++number) {
+    fleet_.control(number).signal(SIGKILL);
+  }
+  for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
+    fleet_.proxy(number).signal(SIGKILL);
+  }
+  for (std::size_t number = 0; number < fleet_.controls(); ++number) {
+    fleet_.control(number).wait(kDeathLimit);
+  }
+  for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
+    fleet_.proxy(number).wait(kDeathLimit);
+  }
+  fleet_.lose_disk(lost);
+  fleet_.pause(kDarkTime);
+  for (std::size_t number = 0; number < fleet_.controls(); ++number) {
+    restart_control(number);
+  }
+  for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
+    restart_proxy(number);
+  }
+}
+
 void SoakFaults::shift_clock() {
   fleet_.set_clock_shift(milliseconds(static_cast<std::int64_t>(draw(20'000)) - 10'000));
 }
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -42,6 +42,12 @@
   void step(core::Instant now);
   /// Ends everything.
   void heal();
+  /// Until a replica that lost its disk no longer counts as lost.
+  void wait_until_disks_caught_up();
+  /// The worst that must be borne: right after an acknowledged change one replica of control loses its disk,
+  /// and all other processes lose power at the same moment, the proxies too. Restarts everything after a
+  /// while.
+  void lose_a_disk_and_all_power();
 
   /// What was done, for a failed run: one line each.
   [[nodiscard]] const std::vector<std::string>& told() const { return told_; }
@@ -68,6 +74,12 @@
   void hit_database(core::Instant now);
   void hit_link(core::Instant now);
   void change_configuration();
+  /// Changes in quick succession, beside whatever else goes on.
+  void begin_storm(core::Instant now);
+  void step_storm(core::Instant now);
+  /// Hits proxies one after the other, each before the last one has returned.
+  void begin_series(core::Instant now);
+  void step_series(core::Instant now);
   void restart_control(std::size_t number);
   void restart_proxy(std::size_t number);
   void shift_clock();
@@ -81,6 +93,10 @@
   core::Instant next_{};
   core::Instant next_lost_disk_{};
   core::Instant next_look_{};
+  core::Instant next_storm_change_{};
+  core::Instant storm_ends_{};
+  core::Instant next_of_series_{};
+  std::size_t left_in_series_ = 0;
   std::vector<Active> active_;
   std::vector<std::string> told_;
   std::uint64_t version_ = 1;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -19,10 +19,16 @@
 using std::chrono::milliseconds;
 
 constexpr int kDatabases = 3;
-constexpr int kControls = 3;
-constexpr int kProxies = 3;
-constexpr std::uint64_t kCallers = 8;
 constexpr int kDefaultSeconds = 8;
+/// In which every proxy serves writes again after all has been without power, half of what users allow.
+constexpr milliseconds kRecoverLimit(7500);
+
+/// How many processes a run has.
+struct FleetSize {
+  int controls = 3;
+  int proxies = 3;
+  std::uint64_t callers = 8;
+};
 
 /// A folder of its own for each run's fault proxy.
 std::filesystem::path run_folder(std::uint64_t seed) {
@@ -34,16 +40,16 @@
 
 class SoakRun {
  public:
-  explicit SoakRun(std::uint64_t seed)
+  SoakRun(std::uint64_t seed, const FleetSize& size)
       : folder_(run_folder(seed)),
         links_(folder_, kDatabases, seed),
-        fleet_(links_.service(), kControls, kProxies),
+        fleet_(links_.service(), size.controls, size.proxies),
         faults_(fleet_, links_, seed) {
     std::vector<core::Endpoint> proxies;
-    for (std::size_t number = 0; number < kProxies; ++number) {
+    for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
       proxies.push_back(fleet_.callers(number));
     }
-    for (std::uint64_t number = 0; number < kCallers; ++number) {
+    for (std::uint64_t number = 0; number < size.callers; ++number) {
       callers_.push_back(std::make_unique<SoakCaller>(fleet_.io(), proxies, number, seed));
     }
   }
@@ -67,7 +73,7 @@
   /// Ends all faults and waits until every proxy serves writes again.
   bool recover() {
     faults_.heal();
-    for (std::size_t number = 0; number < kProxies; ++number) {
+    for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
       if (!fleet_.wait([&] { return serves(number); })) {
         return false;
       }
@@ -75,6 +81,20 @@
     return true;
   }
 
+  /// Loses one disk and all power, and waits until every proxy serves writes again.
+  bool come_back_from_a_loss_of_everything() {
+    faults_.wait_until_disks_caught_up();
+    faults_.lose_a_disk_and_all_power();
+    const core::Instant end = core::BootClock::now() + kRecoverLimit;
+    for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
+      const auto left = std::chrono::duration_cast<milliseconds>(end - core::BootClock::now());
+      if (!fleet_.wait([&] { return serves(number); }, std::max(left, milliseconds(1)))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   bool stop_callers() {
     for (const auto& caller : callers_) {
       caller->stop();
@@ -149,13 +169,18 @@
   std::size_t operations_ = 0;
 };
 
-void soak(std::uint64_t seed, int seconds) {
+void soak(std::uint64_t seed, int seconds, const FleetSize& size = {}) {
   SCOPED_TRACE("seed " + std::to_string(seed));
-  SoakRun run(seed);
+  SoakRun run(seed, size);
   ASSERT_TRUE(run.become_ready());
   run.play(std::chrono::seconds(seconds));
   const bool recovered = run.recover();
   EXPECT_TRUE(recovered) << "a proxy serves no writes after all faults have ended\n" << run.story();
+  if (recovered) {
+    EXPECT_TRUE(run.come_back_from_a_loss_of_everything())
+        << "a proxy serves no writes after a disk and all power were lost\n"
+        << run.story();
+  }
   EXPECT_TRUE(run.stop_callers()) << "a caller got no answer\n" << run.story();
   const std::vector<std::string> broken = run.judged();
   for (const std::string& line : broken) {
@@ -178,19 +203,29 @@
 
 INSTANTIATE_TEST_SUITE_P(Kept, SoakSeeds, ::testing::Values(1, 2));
 
+/// A number from the environment, or the given one.
+int number_or(const char* name, int otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::atoi(text);
+}
+
 TEST(Soak, FreshSeeds) {
   const char* range = std::getenv("PIPITPOND_SOAK_SEEDS");
   if (range == nullptr) {
     GTEST_SKIP() << "scripts/soak gives the seeds";
   }
-  const char* length = std::getenv("PIPITPOND_SOAK_SECONDS");
-  const int seconds = length == nullptr ? kDefaultSeconds : std::atoi(length);
+  const int seconds = number_or("PIPITPOND_SOAK_SECONDS", kDefaultSeconds);
+  FleetSize size;
+  size.controls = number_or("PIPITPOND_SOAK_CONTROLS", size.controls);
+  size.proxies = number_or("PIPITPOND_SOAK_PROXIES", size.proxies);
+  size.callers =
+      static_cast<std::uint64_t>(number_or("PIPITPOND_SOAK_CALLERS", static_cast<int>(size.callers)));
   std::istringstream words(range);
   std::uint64_t first = 0;
   std::uint64_t last = 0;
   words >> first >> last;
   for (std::uint64_t seed = first; seed <= last; ++seed) {
-    soak(seed, seconds);
+    soak(seed, seconds, size);
   }
 }
 
