Send a change of the routes as an edit of the table, not as the whole table

Cause: every daemon got the whole table with each change, also where one route of 48 had changed; with changes each 0.1 s that is a load of its own on links of 2 Mbit/s, beside callers and a fleet that starts. Ruled out: compressing more (changes over 2 KB were compressed already); dropping superseded tables from an answer (a daemon that keeps up gets each by itself). Change: protocol::RouteTableEdit, routes at the front and the back stay, those between are replaced; the first table comes whole. An edit of another table changes nothing.

--- a/src/configuration/registry_plan.cpp
+++ b/src/configuration/registry_plan.cpp
@@ -171,7 +171,11 @@
       change.groups.push_back(std::move(*group));
     }
   }
-  change.routes = put.table;
+  if (context.configuration.routes.version == 0) {
+    change.routes = put.table;
+  } else {
+    change.route_edit = protocol::edit_between(context.configuration.routes, put.table);
+  }
   return Plan{std::nullopt, context.configuration.revision, std::move(change)};
 }
 
--- a/src/protocol/configuration.cpp
+++ b/src/protocol/configuration.cpp
@@ -1,13 +1,54 @@
 #include "protocol/configuration.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace pipitpond::protocol {
 
+RouteTableEdit edit_between(const RouteTable& before, const RouteTable& after) {
+  RouteTableEdit edit;
+  edit.base_version = before.version;
+  edit.version = after.version;
+  edit.transaction_idle_ms = after.transaction_idle_ms;
+  if (before.groups != after.groups) {
+    edit.groups = after.groups;
+  }
+  const auto first =
+      std::mismatch(before.routes.begin(), before.routes.end(), after.routes.begin(), after.routes.end());
+  const auto last = std::mismatch(before.routes.rbegin(), std::make_reverse_iterator(first.first),
+                                  after.routes.rbegin(), std::make_reverse_iterator(first.second));
+  edit.kept_first = static_cast<std::uint64_t>(first.first - before.routes.begin());
+  edit.replaced = static_cast<std::uint64_t>(last.first.base() - first.first);
+  edit.inserted.assign(first.second, last.second.base());
+  return edit;
+}
+
+bool apply(RouteTable& table, const RouteTableEdit& edit) {
+  const std::uint64_t size = table.routes.size();
+  const bool fits = edit.base_version == table.version && edit.kept_first <= size &&
+                    edit.replaced <= size - edit.kept_first;
+  if (!fits) {
+    return false;
+  }
+  const auto first = table.routes.begin() + static_cast<std::ptrdiff_t>(edit.kept_first);
+  const auto gap = table.routes.erase(first, first + static_cast<std::ptrdiff_t>(edit.replaced));
+  table.routes.insert(gap, edit.inserted.begin(), edit.inserted.end());
+  if (edit.groups) {
+    table.groups = *edit.groups;
+  }
+  table.version = edit.version;
+  table.transaction_idle_ms = edit.transaction_idle_ms;
+  return true;
+}
+
 bool apply(Configuration& configuration, const Change& change) {
   if (change.revision != configuration.revision + 1) {
     return false;
   }
+  if (change.route_edit && !apply(configuration.routes, *change.route_edit)) {
+    return false;
+  }
   for (const Zone& zone : change.zones) {
     configuration.zones[zone.name] = zone;
   }
--- a/src/protocol/configuration.hpp
+++ b/src/protocol/configuration.hpp
@@ -134,6 +134,26 @@
   MSGPACK_DEFINE(version, routes, groups, transaction_idle_ms);
 };
 
+/// What turns one table of routes into the next: routes at the front and at the back stay as they are, those
+/// between them are replaced. A table goes to every daemon with each change; of 48 routes one changed route
+/// takes 0.1 KB in place of 4 KB, which is what counts when changes come each 0.1 s over links of 2 Mbit/s.
+struct RouteTableEdit {
+  std::uint64_t base_version = 0;  ///< Of the table that this changes.
+  std::uint64_t version = 0;
+  std::uint64_t kept_first = 0;                    ///< Routes at the front that stay.
+  std::uint64_t replaced = 0;                      ///< Routes after them that go.
+  std::vector<Route> inserted;                     ///< What comes in their place.
+  std::optional<std::vector<RoutedGroup>> groups;  ///< Empty: as they were.
+  std::uint32_t transaction_idle_ms = 0;
+
+  MSGPACK_DEFINE(base_version, version, kept_first, replaced, inserted, groups, transaction_idle_ms);
+};
+
+/// The edit that turns `before` into `after`.
+RouteTableEdit edit_between(const RouteTable& before, const RouteTable& after);
+/// False, and nothing changed, when the edit is of another table.
+bool apply(RouteTable& table, const RouteTableEdit& edit);
+
 /// Whether a daemon takes new work.
 enum class DaemonState : std::uint8_t { kLive, kLeaving };
 
@@ -184,14 +204,15 @@
   std::vector<core::DaemonId> removed_daemons;
   std::vector<Control> controls;
   std::vector<core::ControlId> removed_controls;
-  std::optional<RouteTable> routes;
+  std::optional<RouteTable> routes;  ///< The first table; later ones come as edits.
+  std::optional<RouteTableEdit> route_edit;
 
   MSGPACK_DEFINE(revision, groups, zones, policies, daemons, removed_daemons, controls, removed_controls,
-                 routes);
+                 routes, route_edit);
 };
 
 /// Applies a change that follows directly on `configuration.revision`; returns false and changes nothing
-/// when it does not.
+/// when it does not, or edits another table of routes.
 bool apply(Configuration& configuration, const Change& change);
 
 /// The group's current primary, or empty while a change is in progress.
--- a/tests/configuration/registry_test.cpp
+++ b/tests/configuration/registry_test.cpp
@@ -101,14 +101,15 @@
 }
 
 TEST_F(RegistryTest, ADaemonThatStartsGetsTheConfigurationAndNotTheDaysChanges) {
-  // 25 tables of 65 routes took a starting daemon a second on its link of 2 Mbit/s.
+  // 25 tables of 65 routes took a starting daemon a second on its link of 2 Mbit/s. All routes are others
+  // each time: a change that edits few of them costs less than the configuration.
   constexpr std::uint64_t kTables = 25;
   constexpr int kRoutes = 65;
   for (std::uint64_t version = 1; version <= kTables; ++version) {
     PutRouteTable put = table(version);
     for (int number = 0; number < kRoutes; ++number) {
       protocol::Route route = put.table.routes[0];
-      route.name = "r" + std::to_string(number);
+      route.name = "r" + std::to_string(number) + "-" + std::to_string(version);
       route.database = "archive" + std::to_string(number);
       put.table.routes.push_back(route);
     }
--- a/tests/protocol/messages_property_test.cpp
+++ b/tests/protocol/messages_property_test.cpp
@@ -28,6 +28,7 @@
   unpack_any<Heartbeat>(bytes);
   unpack_any<HeartbeatReply>(bytes);
   unpack_any<FetchRequest>(bytes);
+  unpack_any<FetchPage>(bytes);
   unpack_any<FetchReply>(bytes);
   unpack_any<RevisionNotice>(bytes);
   unpack_any<OperatorRequest>(bytes);
