Number heartbeats on when a session takes another's place, so that late answers match none of its own

Found by reading: late answers now count for 3 s, and a daemon whose clock went back began a new session whose heartbeats had the same numbers: the answer to an earlier one could have stretched a lease. Change: SessionOptions::last_sequence. Tests of late replies; the first of them fails when overdue heartbeats are forgotten (seen on the way: a jump of the clock in the test itself did that).

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -188,6 +188,7 @@
       return;
     }
     options_.incarnation = session_.newest_incarnation() + 1;
+    options_.last_sequence = session_.last_sequence();
     log_->warn("The clock went back: this life goes on as incarnation {}.", options_.incarnation);
     session_ = Session(options_, session_.configuration());
   }
--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -34,6 +34,7 @@
       control_(options_.control),
       configuration_(std::move(configuration)),
       budgets_(options_.daemon, options_.incarnation),
+      sequence_(options_.last_sequence),
       newest_known_(configuration_.revision) {
   budgets_.on_configuration(configuration_);
   // Where control was when this daemon last ran: of the machines in its settings none may be left.
--- a/src/agent/session.hpp
+++ b/src/agent/session.hpp
@@ -51,6 +51,10 @@
   std::vector<core::Endpoint> control;  ///< At least one.
   /// A process whose ticks are further apart than this stood still and gives its lease up.
   core::Duration standstill_limit = kStandstillLimit;
+  /// Heartbeats are numbered from here on. A session that takes another's place within one process goes on
+  /// with its numbers: a late answer to the old one must not pass for the answer to a later heartbeat, whose
+  /// lease would end too late.
+  std::uint64_t last_sequence = 0;
 };
 
 /// How often to call Session::tick.
@@ -119,6 +123,8 @@
   /// numbered them.
   [[nodiscard]] bool superseded() const { return newest_incarnation_ > options_.incarnation; }
   [[nodiscard]] std::uint64_t newest_incarnation() const { return newest_incarnation_; }
+  /// Number of the last heartbeat.
+  [[nodiscard]] std::uint64_t last_sequence() const { return sequence_; }
   /// The replica to which messages for the leader go.
   [[nodiscard]] core::Endpoint leader_guess() const;
   [[nodiscard]] protocol::Departure departure() const;
--- a/src/protocol/control_messages.hpp
+++ b/src/protocol/control_messages.hpp
@@ -104,8 +104,8 @@
   MSGPACK_DEFINE(daemon, after, transfer, offset);
 };
 
-/// Part of the bytes of a FetchReply, packed by wire::pack_compact. A replica that no longer has the answer of
-/// which pages were asked begins another one at offset 0.
+/// Part of the bytes of a FetchReply, packed by wire::pack_compact. A replica that no longer has the answer
+/// of which pages were asked begins another one at offset 0.
 struct FetchPage {
   Revision revision = 0;  ///< That the answer leads to.
   Revision newest = 0;    ///< The replica's revision when it sent the page.
--- a/tests/agent/session_test.cpp
+++ b/tests/agent/session_test.cpp
@@ -120,6 +120,57 @@
   EXPECT_FALSE(session_.lease_valid(now_));
 }
 
+TEST_F(SessionTest, AReplyThatComesAfterTheHeartbeatWasOverdueStillGrantsItsLease) {
+  // Behind a link whose queue holds 0.8 s, each reply came after the limit of 0.4 s; dropped, none ever
+  // granted a lease.
+  const SendHeartbeat sent = next_heartbeat();
+  const core::Instant sent_at = now_;
+  tick_until(now_ + sent.timeout);
+  session_.on_heartbeat_failed(now_, sent.to, sent.heartbeat.sequence);
+  tick_until(sent_at + milliseconds(800));
+  session_.on_heartbeat_reply(now_, sent.to, grant(sent));
+  EXPECT_TRUE(session_.lease_valid(now_));
+  EXPECT_EQ(session_.leader_guess(), sent.to);
+  taken_heartbeat();
+  tick_until(now_ + milliseconds(500));
+  const auto next = taken_heartbeat();
+  ASSERT_TRUE(next.has_value());
+  EXPECT_EQ(next->timeout, kMaxHeartbeatTimeout) << "follows the last reply";
+  tick_until(sent_at + protocol::kDaemonLease);
+  EXPECT_FALSE(session_.lease_valid(now_)) << "the lease runs from the sending";
+}
+
+TEST_F(SessionTest, ALateReplyChangesNothingOnceALaterHeartbeatWasAnswered) {
+  const SendHeartbeat first = next_heartbeat();
+  session_.on_heartbeat_failed(now_, first.to, first.heartbeat.sequence);
+  tick_until(now_ + milliseconds(100));
+  const auto second = taken_heartbeat();
+  ASSERT_TRUE(second.has_value());
+  ASSERT_NE(second->to, first.to);
+  session_.on_heartbeat_reply(now_, second->to, grant(*second));
+  session_.on_heartbeat_reply(now_, first.to, grant(first));
+  EXPECT_EQ(session_.leader_guess(), second->to) << "the earlier leader was deposed meanwhile";
+}
+
+TEST(Session, AnAnswerToTheSessionBeforeMatchesNoHeartbeatOfTheNext) {
+  const core::Instant now(std::chrono::seconds(100));
+  SessionOptions options;
+  options.daemon = core::DaemonId("d");
+  options.control = {replica(1)};
+  Session before(options, {});
+  before.tick(now);
+  protocol::HeartbeatReply late;
+  late.sequence = before.last_sequence();
+  late.from_leader = true;
+  late.current = 1;
+  late.lease_ms = 3000;
+  options.last_sequence = before.last_sequence();
+  Session next(options, {});
+  next.tick(now);
+  next.on_heartbeat_reply(now, replica(1), late);
+  EXPECT_FALSE(next.lease_valid(now));
+}
+
 TEST_F(SessionTest, FollowsAFollowersHintAtOnce) {
   const SendHeartbeat sent = next_heartbeat();
   protocol::HeartbeatReply hint;
