--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -275,6 +275,7 @@
     }
   }
   applied_ = entry.index;
+  applied_bytes_ += entry.command.size();
   finish_proposal(entry, result);
 }
 
@@ -296,6 +297,8 @@
 void Replica::restore(const raft::Snapshot& snapshot) {
   const auto restored = machine_.restore(snapshot.state);
   applied_ = snapshot.index;
+  applied_bytes_ = 0;
+  snapshot_bytes_ = snapshot.state.size();
   if (!restored) {
     broken_ = restored.error();
   }
@@ -344,10 +347,17 @@
 
 void Replica::compact_if_long() {
   const raft::Index applied = node_.applied_index();
-  if (applied >= node_.log().first_index() + kCompactAfterEntries) {
-    node_.compact(applied, machine_.snapshot());
-    schedule_work();
+  const bool many = applied >= node_.log().first_index() + kCompactAfterEntries;
+  // A state that is itself long is not written anew for less than its own length of changes.
+  const bool long_log = applied_bytes_ >= std::max(kCompactAfterBytes, snapshot_bytes_);
+  if (!many && !long_log) {
+    return;
   }
+  std::string state = machine_.snapshot();
+  applied_bytes_ = 0;
+  snapshot_bytes_ = state.size();
+  node_.compact(applied, std::move(state));
+  schedule_work();
 }
 
 void Replica::set_timer() {
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -122,6 +122,8 @@
   /// Could not be made durable because the disk is full. Nothing that it promises is sent before.
   std::optional<raft::Ready> waiting_for_room_;
   raft::Index applied_ = 0;
+  std::size_t applied_bytes_ = 0;   ///< Of commands since the last snapshot: what a restart applies again.
+  std::size_t snapshot_bytes_ = 0;  ///< Of the last snapshot.
   protocol::Revision told_revision_ = 0;
   std::uint64_t told_candidacies_ = 0;
   std::uint64_t syncs_ = 0;
@@ -131,4 +133,9 @@
   std::multimap<raft::Index, raft::ReadToken> confirmed_reads_;  ///< Wait for their index to be applied.
 };
 
+/// Bytes of applied commands after which a snapshot takes the log's place. A replica with 0.15 of a core
+/// applies a command of 300 KB in 20 ms, so that this bounds what it applies at its start to 0.15 s; 92 of
+/// them took 1.8 s.
+inline constexpr std::size_t kCompactAfterBytes = 2UL * 1024 * 1024;
+
 }  // namespace pipitpond::control
--- a/src/raft/config.hpp
+++ b/src/raft/config.hpp
@@ -31,6 +31,8 @@
   core::Duration snapshot_retry = std::chrono::milliseconds(2000);
   /// Entries kept behind a snapshot for followers that are a little behind.
   std::size_t trailing_entries = 256;
+  /// The same in bytes: 256 changes of 1,340 routes were 77 MB, in memory and on a disk of 128 MB.
+  std::size_t trailing_bytes = std::size_t{4} * 1024 * 1024;
   std::size_t max_entries_per_append = 256;
   /// Also how many bytes of entries may be sent to one member ahead of its answers, but for the last append.
   std::size_t max_bytes_per_append = std::size_t{1024} * 1024;
--- a/src/raft/log.cpp
+++ b/src/raft/log.cpp
@@ -95,11 +95,22 @@
   return first_new;
 }
 
-void Log::compact(Index index, std::string state, std::size_t trailing) {
+Index Log::first_within(Index index, const TrailingLimits& trailing) const {
+  Index first = index + 1;
+  std::size_t bytes = 0;
+  while (first > first_index() && index + 1 - first < trailing.entries) {
+    bytes += size_of(at(first - 1));
+    if (bytes > trailing.bytes) break;
+    --first;
+  }
+  return first;
+}
+
+void Log::compact(Index index, std::string state, const TrailingLimits& trailing) {
   snapshot_ = Snapshot{index, *term_at(index), membership_at(index), std::move(state)};
   while (memberships_.size() > 1 && memberships_[1].index <= index) memberships_.erase(memberships_.begin());
-  const auto keep_after = index > trailing ? index - trailing : 0;
-  while (base_.index < keep_after) {
+  const Index first_kept = first_within(index, trailing);
+  while (first_index() < first_kept) {
     base_ = {entries_.front().term, entries_.front().index};
     entries_.pop_front();
   }
--- a/src/raft/log.hpp
+++ b/src/raft/log.hpp
@@ -15,6 +15,12 @@
 /// Bytes that entries take, in memory and, nearly, in a message.
 std::size_t size_of(const std::vector<Entry>& entries);
 
+/// What is kept of the entries before a snapshot.
+struct TrailingLimits {
+  std::size_t entries = 0;
+  std::size_t bytes = 0;
+};
+
 class Log {
  public:
   /// Starts from durable state; entries that do not continue the snapshot are dropped.
@@ -44,8 +50,8 @@
   std::optional<Index> merge(const std::vector<Entry>& entries);
 
   [[nodiscard]] const Snapshot& snapshot() const { return snapshot_; }
-  /// Replaces the snapshot by one of a committed entry; keeps `trailing` entries before it.
-  void compact(Index index, std::string state, std::size_t trailing);
+  /// Replaces the snapshot by one of a committed entry; keeps the last entries before it, within the limits.
+  void compact(Index index, std::string state, const TrailingLimits& trailing);
   /// Replaces everything by a snapshot.
   void restore(Snapshot snapshot);
 
@@ -60,6 +66,8 @@
     Membership membership;
   };
 
+  /// First of the entries up to `index` that are kept.
+  [[nodiscard]] Index first_within(Index index, const TrailingLimits& trailing) const;
   void truncate_from(Index index);
   void note_membership(const Entry& entry);
 
--- a/src/raft/node.cpp
+++ b/src/raft/node.cpp
@@ -175,7 +175,7 @@
 void Node::compact(Index index, std::string state) {
   const bool held = index > log_.snapshot().index && index <= applied_;
   if (!held || restore_) return;
-  log_.compact(index, std::move(state), config_.trailing_entries);
+  log_.compact(index, std::move(state), {config_.trailing_entries, config_.trailing_bytes});
   snapshot_changed_ = true;
 }
 
--- a/tests/control/replica_test.cpp
+++ b/tests/control/replica_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <vector>
@@ -81,6 +82,35 @@
   EXPECT_FALSE(cluster.replica(full).without_room());
 }
 
+// A day changed a table of 1,340 routes 92 times; after a loss of all power the control replicas took 1.8 s
+// to read and apply the 28 MB of their logs, and no daemon had a configuration until then. Ten times the
+// changes would have taken longer than users wait, and filled a disk of 128 MB.
+TEST_F(ReplicaTest, WhatARestartReadsAndAppliesFollowsTheStateAndNotTheDaysChanges) {
+  constexpr std::uint64_t kTables = 40;
+  constexpr std::size_t kDocumentBytes = 300'000;
+  const std::string leader = cluster.wait_for_leader();
+  for (std::uint64_t version = 1; version <= kTables; ++version) {
+    configuration::PutRouteTable put;
+    put.table.version = version;
+    put.document = std::string(kDocumentBytes, 'x');
+    const auto result = propose(leader, Command{{}, 0, std::move(put)});
+    ASSERT_TRUE(result);
+    ASSERT_FALSE(result.value().error);
+  }
+  const raft::PersistedState& state = cluster.disk(leader).state();
+  std::vector<raft::Entry> replayed;
+  std::copy_if(state.entries.begin(), state.entries.end(), std::back_inserter(replayed),
+               [&](const raft::Entry& entry) { return entry.index > state.snapshot.index; });
+  EXPECT_LT(raft::size_of(replayed), kCompactAfterBytes + 2 * kDocumentBytes);
+  const raft::Log& log = cluster.replica(leader).node().log();
+  EXPECT_LT(raft::size_of(log.range(log.first_index(), log.last_index())),
+            raft::Config{}.trailing_bytes + kCompactAfterBytes + 2 * kDocumentBytes);
+  cluster.stop(leader);
+  cluster.start(leader);
+  ASSERT_TRUE(run_until(
+      io, [&] { return cluster.replica(leader).machine().configuration().routes.version == kTables; }));
+}
+
 TEST_F(ReplicaTest, AFollowerWithAFullDiskPromisesNothing) {
   const std::string leader = cluster.wait_for_leader();
   const std::string full = a_follower(leader);
