--- a/tests/recovery/recovery_test.cpp
+++ b/tests/recovery/recovery_test.cpp
@@ -8,6 +8,10 @@
 // too; the daemon dropped what had come, asked the next replica for all of it again, and the late answer
 // still took its share of the link. Cause: a time limit that did not follow from the size of what was moved,
 // whose expiry kept nothing.
+// Evidence: with 12 daemons, 92 KB to fetch each and 31 KB a second left of each link, every daemon logged
+// received_bytes that grew by 31 KB a second, a fetch that failed each 1.5 s, and no configuration in 20 s;
+// control had sent 1.16 MB to each. A limit of 1.5 s without any byte, and pages that are kept: 3.0 s and 92
+// KB.
 #include <gtest/gtest.h>
 
 #include <algorithm>
