--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -259,6 +259,7 @@
   [[nodiscard]] bool lease_valid(core::Instant now) const override {
     return driver_->session().lease_valid(now);
   }
+  [[nodiscard]] core::Instant complete_until() const override { return driver_->session().complete_until(); }
   [[nodiscard]] ownership::Budget allowed(const core::DatabaseId& database) const override {
     return driver_->session().allowed(database);
   }
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -66,6 +66,8 @@
 
   /// True while control's lease is valid. Read the clock after the event that the answer shall cover.
   [[nodiscard]] virtual bool lease_valid(core::Instant now) const = 0;
+  /// Every change that control acknowledged before this moment is part of configuration().
+  [[nodiscard]] virtual core::Instant complete_until() const = 0;
   /// Connections and slots that this daemon may use of a database. It may shrink with each change of the
   /// configuration: close what is over it as soon as it is idle. Open new connections only with a lease.
   [[nodiscard]] virtual ownership::Budget allowed(const core::DatabaseId& database) const = 0;
--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -154,6 +154,7 @@
   reply_delay_ = now - sent_at;
   take_control_list(reply.control);
   newest_known_ = std::max(newest_known_, reply.current);
+  note_leaders_revision(sent_at, reply.current);
   if (reply.lease_ms > 0) {
     lease_end_ = std::max(lease_end_, sent_at + std::chrono::milliseconds(reply.lease_ms));
     had_lease_ = true;
@@ -165,6 +166,26 @@
   fetch_if_behind(now, from);
 }
 
+// A leader answers with a revision only once it has applied all that earlier leaders committed, and while a
+// majority stands by it: all that any leader acknowledged before the question was sent is part of that revision.
+void Session::note_leaders_revision(core::Instant sent_at, protocol::Revision revision) {
+  awaited_revisions_.emplace_back(revision, sent_at);
+  if (awaited_revisions_.size() > kMostAwaitedRevisions) {
+    awaited_revisions_.pop_front();
+  }
+  prove_complete();
+}
+
+void Session::prove_complete() {
+  std::erase_if(awaited_revisions_, [this](const auto& awaited) {
+    const bool in_force = awaited.first <= configuration_.revision;
+    if (in_force) {
+      complete_until_ = std::max(complete_until_, awaited.second);
+    }
+    return in_force;
+  });
+}
+
 void Session::on_heartbeat_failed(core::Instant now, const core::Endpoint& from, std::uint64_t sequence) {
   // The entry in sent_ stays: a lease that comes late runs from the sending too.
   const bool newer_answered = sequence < answered_;
@@ -371,6 +392,7 @@
     }
   }
   newest_known_ = std::max(newest_known_, configuration_.revision);
+  prove_complete();
   if (awaits_followers(configuration_) || waits_for_admission(now)) {
     send_heartbeat(now);
   }
--- a/src/agent/session.hpp
+++ b/src/agent/session.hpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -108,6 +110,10 @@
   [[nodiscard]] bool lease_valid(core::Instant now) const {
     return now < lease_end_ && now - last_tick_ <= options_.standstill_limit;
   }
+  /// Every change that control acknowledged before this moment is part of configuration(). The clock's epoch
+  /// while nothing proves it. A leader that is sure of its office named the revision in answer to a heartbeat
+  /// that was sent then.
+  [[nodiscard]] core::Instant complete_until() const { return complete_until_; }
   /// True once the configuration is as new as control's state at some moment of this life: a lease was
   /// granted on it, or a majority of the control replicas has told what it knows. One replica alone may have
   /// been out of touch for long before this daemon started.
@@ -133,6 +139,8 @@
   [[nodiscard]] protocol::Heartbeat heartbeat();
   [[nodiscard]] core::Duration heartbeat_timeout() const;
   void send_heartbeat(core::Instant now);
+  void note_leaders_revision(core::Instant sent_at, protocol::Revision revision);
+  void prove_complete();
   void notice_standstill(core::Instant now);
   void try_next_replica(core::Instant now);
   void follow_hint(core::Instant now, const core::Endpoint& hint);
@@ -169,6 +177,9 @@
   core::Instant next_heartbeat_;
   core::Instant lease_end_;
   core::Instant last_tick_;
+  core::Instant complete_until_{};
+  /// Revisions that a leader named and that are not in force here yet, oldest first, and when it was asked.
+  std::deque<std::pair<protocol::Revision, core::Instant>> awaited_revisions_;
 
   protocol::Revision newest_known_ = 0;
   std::uint64_t newest_incarnation_ = 0;  ///< Of this daemon, that control knows.
@@ -188,6 +199,8 @@
 inline constexpr core::Duration kHeartbeatTimeout = std::chrono::milliseconds(400);
 /// Half of a lease: enough room for another replica's answer before the lease ends.
 inline constexpr core::Duration kMaxHeartbeatTimeout = protocol::kDaemonLease / 2;
+/// Leaders' revisions that are awaited at once: 8 s of heartbeats; later ones take the place of earlier ones.
+inline constexpr std::size_t kMostAwaitedRevisions = 16;
 /// Replicas that announced themselves are taken up to this number of known ones: control has 9 at most today.
 inline constexpr std::size_t kMostKnownReplicas = 32;
 /// Another replica is asked when nothing has come for this long.
--- a/src/configuration/plan.cpp
+++ b/src/configuration/plan.cpp
@@ -150,7 +150,10 @@
   Change change = next_change(context.configuration);
   Daemon daemon{admit.id,       admit.incarnation, admit.zone,
                 admit.internal, admit.callers,     protocol::DaemonState::kLive,
-                change.revision};
+                change.revision, change.revision};
+  if (current != nullptr && current->state == protocol::DaemonState::kLive) {
+    daemon.live_since = current->live_since;
+  }
   if (current != nullptr && current->incarnation == admit.incarnation) {
     const bool same = current->zone == admit.zone && current->internal == admit.internal &&
                       current->callers == admit.callers;
--- a/src/configuration/registry_plan.cpp
+++ b/src/configuration/registry_plan.cpp
@@ -1,6 +1,7 @@
 #include "configuration/registry_plan.hpp"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -39,6 +40,29 @@
   return std::nullopt;
 }
 
+/// A key belongs to one tenant. Errors name tenants, never keys.
+std::optional<core::Error> check_tenants(const protocol::Tenants& tenants) {
+  std::set<core::TenantName> names;
+  std::map<protocol::KeyDigest, core::TenantName> holders;
+  for (const protocol::Tenant& tenant : tenants) {
+    if (auto error = check_name("tenant", tenant.name.value())) {
+      return error;
+    }
+    if (!names.insert(tenant.name).second) {
+      return invalid("Tenant " + tenant.name.value() + " is named twice.", "Name each tenant once.");
+    }
+    for (const protocol::KeyDigest& key : tenant.keys) {
+      const auto [holder, is_new] = holders.emplace(key, tenant.name);
+      if (!is_new && holder->second != tenant.name) {
+        return invalid(
+            "Tenants " + holder->second.value() + " and " + tenant.name.value() + " hold the same key.",
+            "Give each key to one tenant.");
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<core::Error> check_table(const RouteTable& table) {
   if (table.version == 0) {
     return invalid("The table has no version.", "Give a version above that of the table in force.");
@@ -62,7 +86,7 @@
                      "Keep one route for each database name and prefix.");
     }
   }
-  return std::nullopt;
+  return table.tenants ? check_tenants(*table.tenants) : std::nullopt;
 }
 
 /// Connections that proxies may share, of those that the database takes.
--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -112,7 +112,8 @@
   if (outdated) {
     protocol::HeartbeatReply refused;
     refused.sequence = heartbeat.sequence;
-    refused.current = configuration.revision;
+    // Without a quorum this leader does not know the newest revision.
+    refused.current = replica_.node().has_quorum(now) ? configuration.revision : 0;
     refused.known_incarnation = known->second.incarnation;
     return refused;
   }
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -24,6 +24,8 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+constexpr std::uint32_t kOk = 200;
+
 OperatorReply ok(const json& body) {
   return OperatorReply{200, dump(body)};
 }
@@ -78,6 +80,10 @@
 /// Notices of databases: POST /v1/databases/ID/heartbeat and POST /v1/databases/ID/leave.
 const std::string kDatabasesPath = "/v1/databases/";
 
+bool is_database_notice(const OperatorRequest& request) {
+  return request.method == "POST" && request.path.starts_with(kDatabasesPath);
+}
+
 /// The name in "/v1/groups/NAME" for the prefix "/v1/groups/"; empty when the path has another prefix.
 std::string name_after(const std::string& path, const std::string& prefix) {
   return path.starts_with(prefix) ? path.substr(prefix.size()) : std::string();
@@ -134,6 +140,9 @@
   while (true) {
     OperatorReply reply = co_await attempt(request);
     if (!worth_another_attempt(reply) || core::BootClock::now() >= give_up) {
+      if (reply.status == kOk && is_database_notice(request)) {
+        co_return database_reply();  // Not the leader's, which names the leader.
+      }
       co_return reply;
     }
     boost::system::error_code ignored;
@@ -301,7 +310,7 @@
 
 /// Most notices of databases tell what every replica knows already: no need to ask the leader.
 std::optional<OperatorReply> OperatorApi::answer_known_database(const OperatorRequest& request) const {
-  if (request.method != "POST" || !request.path.starts_with(kDatabasesPath)) {
+  if (!is_database_notice(request)) {
     return std::nullopt;
   }
   const auto command = parse_database_notice(request.path.substr(kDatabasesPath.size()), request.body);
@@ -316,13 +325,15 @@
   return database_reply();
 }
 
-/// Tells where the next notices are best sent: to the leader.
+/// Tells where the next notices are best sent: here. Most tell nothing new, which any replica can say, so that
+/// they spread over all replicas by themselves as databases move on from one that failed. Sent to the leader they
+/// took all of its processor's share: at 300 machines it answered none in time, and each was sent again elsewhere.
 OperatorReply OperatorApi::database_reply() const {
   json body = json::object();
   const raft::Node& node = replica_.node();
-  const raft::Member* leader = node.leader() ? node.membership().find(*node.leader()) : nullptr;
-  if (leader != nullptr) {
-    body["next"] = leader->operators;
+  const raft::Member* self = node.membership().find(node.config().id);
+  if (self != nullptr) {
+    body["next"] = self->operators;
   }
   return ok(body);
 }
--- a/src/control/route_json.cpp
+++ b/src/control/route_json.cpp
@@ -1,10 +1,12 @@
 #include "control/route_json.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "control/json_fields.hpp"
+#include "tenancy/key_digest.hpp"
 
 namespace pipitpond::control {
 namespace {
@@ -14,6 +16,7 @@
 constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t kMaxMillis = std::uint64_t{24} * 3600 * 1000;
 constexpr std::uint64_t kMaxCount = 1'000'000;
+constexpr std::size_t kMaxTenantKeyBytes = 512;
 
 std::uint32_t millis(JsonFields& fields, const std::string& name) {
   return static_cast<std::uint32_t>(fields.number(name, kMaxMillis));
@@ -53,6 +56,7 @@
   route.priority = count_or_none(fields, "priority");
   route.max_attempts = count_or_none(fields, "max_attempts");
   route.max_staleness_ms = millis_or_none(fields, "max_staleness_ms");
+  route.is_public = fields.boolean_or("public", false);
   fields.no_others();
   return route;
 }
@@ -76,6 +80,43 @@
   return items;
 }
 
+/// Errors name the key's place, never the key.
+std::vector<protocol::KeyDigest> read_keys(const json& list, const std::string& where) {
+  std::vector<protocol::KeyDigest> digests;
+  for (const json& key : list) {
+    const std::string* text = key.get_ptr<const std::string*>();
+    if (text == nullptr || text->empty() || text->size() > kMaxTenantKeyBytes) {
+      throw BadField{where + ".keys[" + std::to_string(digests.size()) + "] must be a text of 1 to " +
+                     std::to_string(kMaxTenantKeyBytes) + " bytes."};
+    }
+    digests.push_back(tenancy::digest_of(*text));
+  }
+  return digests;
+}
+
+protocol::Tenant read_tenant(const json& value, const std::string& where) {
+  JsonFields fields(value, where);
+  protocol::Tenant tenant;
+  tenant.name = core::TenantName(fields.text("name"));
+  tenant.keys = read_keys(fields.array("keys"), where);
+  tenant.priority = count_or_none(fields, "priority");
+  if (fields.has("rate_per_s")) {
+    tenant.quota.emplace();
+    tenant.quota->rate_per_s = static_cast<std::uint32_t>(fields.number("rate_per_s", kMaxCount));
+    tenant.quota->burst = count_or_none(fields, "burst");
+  }
+  fields.no_others();
+  return tenant;
+}
+
+/// In order of names: the order in which they were written means nothing.
+protocol::Tenants read_tenants(const json& list) {
+  auto tenants = read_list<protocol::Tenant>(list, "tenants", read_tenant);
+  std::sort(tenants.begin(), tenants.end(),
+            [](const auto& left, const auto& right) { return left.name < right.name; });
+  return tenants;
+}
+
 configuration::Operation read_heartbeat(const core::DatabaseId& id, const json& value) {
   JsonFields fields(value, "body");
   configuration::RegisterDatabase registration;
@@ -99,6 +140,9 @@
     put.table.transaction_idle_ms = millis_or_none(fields, "transaction_idle_ms");
     put.table.routes = read_list<protocol::Route>(fields.array("routes"), "routes", read_route);
     put.table.groups = read_list<protocol::RoutedGroup>(fields.array("groups"), "groups", read_group);
+    if (fields.has("tenants")) {
+      put.table.tenants = read_tenants(fields.array("tenants"));
+    }
     put.document = fields.text("document");
     fields.no_others();
     return put;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // In the order of ErrorKind.
-constexpr std::array<std::string_view, 24> kKindNames = {"invalid_argument",
+constexpr std::array<std::string_view, 25> kKindNames = {"invalid_argument",
                                                          "not_found",
                                                          "already_exists",
                                                          "conflict",
@@ -30,6 +30,7 @@
                                                          "too_large",
                                                          "corrupt",
                                                          "policy_denied",
+                                                         "permission_denied",
                                                          "internal"};
 static_assert(kKindNames.size() == static_cast<std::size_t>(ErrorKind::kInternal) + 1);
 
--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -38,6 +38,7 @@
   kTooLarge,           ///< A body, statement or message is over its limit.
   kCorrupt,            ///< Durable state can't be read.
   kPolicyDenied,       ///< The policy forbids the request.
+  kPermissionDenied,   ///< Nobody who may ask holds the caller's key.
   kInternal,           ///< A fault of this program.
 };
 
--- a/src/ownership/owner_choice.cpp
+++ b/src/ownership/owner_choice.cpp
@@ -49,6 +49,14 @@
   return hash(daemon.value(), hash(chooser.value(), 0));
 }
 
+std::uint64_t weight_of(const core::TenantName& tenant, const core::DaemonId& daemon) {
+  return hash(daemon.value(), hash(tenant.value(), 0));
+}
+
+std::uint64_t weight_of(const core::TenantName& tenant, const core::ZoneName& zone) {
+  return hash(zone.value(), hash(tenant.value(), 0));
+}
+
 std::size_t near_owner_count(std::size_t count) {
   return (count + 1) / 2;
 }
--- a/src/ownership/owner_choice.hpp
+++ b/src/ownership/owner_choice.hpp
@@ -27,6 +27,10 @@
 /// differ.
 std::uint64_t weight_of(const core::DaemonId& chooser, const core::DaemonId& daemon);
 
+/// A daemon's and a zone's weight for a tenant.
+std::uint64_t weight_of(const core::TenantName& tenant, const core::DaemonId& daemon);
+std::uint64_t weight_of(const core::TenantName& tenant, const core::ZoneName& zone);
+
 /// Sets each candidate's weight for the database. It depends on nothing but the daemon and the database, so
 /// that the departure of another daemon changes no order among the rest.
 void weigh(std::vector<Candidate>& candidates, const core::DatabaseId& database);
--- a/src/pooling/backend.hpp
+++ b/src/pooling/backend.hpp
@@ -22,6 +22,7 @@
   core::Endpoint endpoint;
   core::GroupName group;
   core::DatabaseId database;  ///< Another one at the endpoint refuses.
+  core::TenantName tenant{};  ///< Whose statements the connection carries; empty: nobody's in particular.
 };
 
 /// A statement on its way to a database.
--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -50,6 +50,7 @@
   std::uint32_t priority = 0;
   core::Instant goal;
   const SessionState* session = nullptr;
+  std::optional<core::TenantName> tenant;
   boost::asio::steady_timer timer;
   std::unique_ptr<PooledConnection> connection;
   std::optional<core::Error> error;
@@ -209,7 +210,7 @@
     co_return closed_error();
   }
   if (pool->waiters_.empty() && pool->may_run_another()) {
-    if (auto idle = pool->take_idle(request.session)) {
+    if (auto idle = pool->take_idle(request.tenant, request.session)) {
       co_return ConnectionLease(pool, std::move(idle));
     }
   }
@@ -221,11 +222,12 @@
   waiter->priority = request.priority;
   waiter->goal = request.goal;
   waiter->session = request.session;
+  waiter->tenant = request.tenant;
   const auto place = std::find_if(
       pool->waiters_.begin(), pool->waiters_.end(),
       [&](const std::shared_ptr<PoolWaiter>& other) { return other->priority > request.priority; });
   pool->waiters_.insert(place, waiter);
-  pool->open_when_needed();
+  pool->serve_waiters();  // Those before it may wait for connections of other tenants.
   if (!waiter->connection && !waiter->error) {
     waiter->timer.expires_after(std::max(core::Duration::zero(), request.deadline - core::BootClock::now()));
     boost::system::error_code ignored;
@@ -255,35 +257,73 @@
   co_return co_await lease.value().status(deadline - core::BootClock::now());
 }
 
-std::unique_ptr<PooledConnection> BackendPool::take_idle(const SessionState* session) {
+void BackendPool::drop_closed_idle() {
   std::erase_if(idle_, [](const auto& connection) { return !connection->link->is_open(); });
-  if (idle_.empty()) {
+}
+
+bool BackendPool::has_idle_for(const std::optional<core::TenantName>& tenant) const {
+  return std::any_of(idle_.begin(), idle_.end(),
+                     [&](const auto& connection) { return !tenant || connection->tenant == *tenant; });
+}
+
+std::unique_ptr<PooledConnection> BackendPool::take_idle(const std::optional<core::TenantName>& tenant,
+                                                         const SessionState* session) {
+  drop_closed_idle();
+  const auto belongs = [&](const auto& connection) { return !tenant || connection->tenant == *tenant; };
+  auto chosen = std::find_if(idle_.rbegin(), idle_.rend(), belongs);
+  if (chosen == idle_.rend()) {
     return nullptr;
   }
-  auto chosen = std::prev(idle_.end());
   if (session != nullptr) {
-    const auto fitting = std::find_if(idle_.rbegin(), idle_.rend(), [session](const auto& connection) {
-      return has_values_of(connection->state, *session);
+    const auto fitting = std::find_if(idle_.rbegin(), idle_.rend(), [&](const auto& connection) {
+      return belongs(connection) && has_values_of(connection->state, *session);
     });
-    if (fitting != idle_.rend()) {
-      chosen = std::prev(fitting.base());
-    }
+    chosen = fitting != idle_.rend() ? fitting : chosen;
   }
   std::unique_ptr<PooledConnection> connection = std::move(*chosen);
-  idle_.erase(chosen);
+  idle_.erase(std::prev(chosen.base()));
   return connection;
 }
 
 void BackendPool::open_when_needed() {
   const bool resting = core::BootClock::now() < next_open_;
-  while (!closed_ && !resting && opening_ < waiters_.size() && held() < share_.most && may_run_another()) {
-    begin_to_open();
+  while (!closed_ && !resting && may_run_another()) {
+    const std::shared_ptr<PoolWaiter> waiter = next_without_opening();
+    if (!waiter || !make_room()) {
+      break;
+    }
+    begin_to_open(waiter->tenant.value_or(core::TenantName()));
+  }
+}
+
+std::shared_ptr<PoolWaiter> BackendPool::next_without_opening() const {
+  std::map<core::TenantName, std::size_t> openings = opening_for_;
+  for (const std::shared_ptr<PoolWaiter>& waiter : waiters_) {
+    std::size_t& left = openings[waiter->tenant.value_or(core::TenantName())];
+    if (left == 0) {
+      return waiter;
+    }
+    --left;
   }
+  return nullptr;
 }
 
-void BackendPool::begin_to_open() {
+bool BackendPool::make_room() {
+  if (held() < share_.most) {
+    return true;
+  }
+  if (idle_.empty()) {
+    return false;
+  }
+  idle_.pop_front();  // Used least lately: of 84 tenants most have a connection for nothing most of the time.
+  ++counters_.made_room;
+  return true;
+}
+
+void BackendPool::begin_to_open(core::TenantName tenant) {
   ++opening_;
-  boost::asio::co_spawn(io_, open_one(shared_from_this()), boost::asio::detached);
+  ++opening_for_[tenant];
+  boost::asio::co_spawn(io_, open_one(shared_from_this(), std::move(tenant)), boost::asio::detached);
 }
 
 /// One after the other and slowly: an opening takes a slot of the database from statements.
@@ -293,7 +333,7 @@
     return;
   }
   next_warm_up_ = now + share_.warm_up_interval;
-  begin_to_open();
+  begin_to_open(core::TenantName());
 }
 
 void BackendPool::give_back_borrowed(core::Instant now) {
@@ -303,10 +343,15 @@
   }
 }
 
-awaitable<void> BackendPool::open_one(std::shared_ptr<BackendPool> self) {
+awaitable<void> BackendPool::open_one(std::shared_ptr<BackendPool> self, core::TenantName tenant) {
   const core::Instant begun = core::BootClock::now();
-  auto link = co_await self->connector_.connect(self->address_, kConnectTimeout);
+  BackendAddress address = self->address_;
+  address.tenant = tenant;
+  auto link = co_await self->connector_.connect(std::move(address), kConnectTimeout);
   --self->opening_;
+  if (--self->opening_for_[tenant] == 0) {
+    self->opening_for_.erase(tenant);
+  }
   const core::Instant now = core::BootClock::now();
   self->last_open_failed_ = !link;
   if (!link) {
@@ -321,6 +366,7 @@
   self->health_.on_connected(now);
   auto connection = std::make_unique<PooledConnection>();
   connection->link = std::move(link.value());
+  connection->tenant = std::move(tenant);
   self->hand_out(std::move(connection));
 }
 
@@ -346,10 +392,15 @@
 /// The first that can still be answered in time, or else the first.
 std::shared_ptr<PoolWaiter> BackendPool::take_next_waiter() {
   const core::Instant answered = core::BootClock::now() + usual_latency_;
-  auto next = std::find_if(waiters_.begin(), waiters_.end(),
-                           [answered](const auto& waiter) { return answered <= waiter->goal; });
+  const auto servable = [this](const auto& waiter) { return has_idle_for(waiter->tenant); };
+  auto next = std::find_if(waiters_.begin(), waiters_.end(), [&](const auto& waiter) {
+    return answered <= waiter->goal && servable(waiter);
+  });
+  if (next == waiters_.end()) {
+    next = std::find_if(waiters_.begin(), waiters_.end(), servable);
+  }
   if (next == waiters_.end()) {
-    next = waiters_.begin();
+    return nullptr;
   }
   std::shared_ptr<PoolWaiter> waiter = *next;
   waiters_.erase(next);
@@ -374,16 +425,13 @@
 }
 
 void BackendPool::serve_waiters() {
+  drop_closed_idle();
   while (!waiters_.empty() && in_use_.size() - transactions_ < concurrency_.limit()) {
-    if (idle_.empty()) {
-      break;
-    }
     const std::shared_ptr<PoolWaiter> waiter = take_next_waiter();
-    waiter->connection = take_idle(waiter->session);
-    if (!waiter->connection) {
-      waiters_.push_front(waiter);
+    if (!waiter) {
       break;
     }
+    waiter->connection = take_idle(waiter->tenant, waiter->session);
     in_use_.insert(waiter->connection.get());
     waiter->timer.cancel();
   }
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -7,7 +7,9 @@
 #include <cstdint>
 #include <deque>
 #include <list>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -29,6 +31,7 @@
 /// A connection and what it has been told.
 struct PooledConnection {
   std::unique_ptr<BackendConnection> link;
+  core::TenantName tenant;  ///< Whose statements it carries.
   ConnectionState state;
   /// A read under way on it may be run elsewhere: it is cut off when the database is found unreachable.
   bool expendable = false;
@@ -78,6 +81,9 @@
   const SessionState* session = nullptr;  ///< Connections that have its values are preferred.
   /// After this moment an answer is late. Who is late anyway lets those go first who can still be in time.
   core::Instant goal = core::Instant::max();
+  /// Whose connection it must be; nothing: anybody's. Databases take a connection's tenant for that of all its
+  /// statements.
+  std::optional<core::TenantName> tenant{};
 };
 
 /// What a pool counts since its start.
@@ -85,6 +91,7 @@
   std::uint64_t opened = 0;
   std::uint64_t open_failed = 0;
   std::uint64_t given_back = 0;  ///< Borrowed connections that were closed because they were idle.
+  std::uint64_t made_room = 0;   ///< Idle connections that were closed for another tenant's.
   std::uint64_t broke = 0;
   std::uint64_t waited_in_vain = 0;
   std::uint64_t probes = 0;
@@ -148,13 +155,21 @@
  private:
   friend class ConnectionLease;
 
-  std::unique_ptr<PooledConnection> take_idle(const SessionState* session);
+  std::unique_ptr<PooledConnection> take_idle(const std::optional<core::TenantName>& tenant,
+                                              const SessionState* session);
+  [[nodiscard]] bool has_idle_for(const std::optional<core::TenantName>& tenant) const;
+  void drop_closed_idle();
+  /// The first that waits and for which no connection is being opened; null: none.
+  [[nodiscard]] std::shared_ptr<PoolWaiter> next_without_opening() const;
+  /// False when all connections that may be held are in use.
+  bool make_room();
   void open_when_needed();
   void open_ahead(core::Instant now);
   void give_back_borrowed(core::Instant now);
-  void begin_to_open();
-  static boost::asio::awaitable<void> open_one(std::shared_ptr<BackendPool> self);
+  void begin_to_open(core::TenantName tenant);
+  static boost::asio::awaitable<void> open_one(std::shared_ptr<BackendPool> self, core::TenantName tenant);
   void on_open_failed(const core::Error& error);
+  /// Takes the one that goes next among those that an idle connection will do for; null: none.
   std::shared_ptr<PoolWaiter> take_next_waiter();
   [[nodiscard]] bool may_run_another() const;
   void serve_waiters();
@@ -177,6 +192,7 @@
   std::size_t transactions_ = 0;  ///< Connections in use that are in one.
   bool closed_ = false;
   std::size_t opening_ = 0;
+  std::map<core::TenantName, std::size_t> opening_for_;  ///< Of them, by tenant.
   bool last_open_failed_ = false;
   core::Instant next_open_{};
   core::Instant next_warm_up_{};
--- a/src/pooling/backends.cpp
+++ b/src/pooling/backends.cpp
@@ -247,6 +247,16 @@
   return !serves_itself && others_serve(pool, now);
 }
 
+/// A tenant's statements meet at one near owner, also those of other owners' callers.
+bool Backends::belongs_to_another(const BackendPool& pool, const ConnectionRequest& request,
+                                  core::Instant now) const {
+  if (!request.tenant || request.tenant->empty()) {
+    return false;
+  }
+  const std::vector<core::DaemonId>& owners = agent_.owner_table().owners(pool.address().database);
+  return forwarder_.prefers_another(owners, pool, *request.tenant, now);
+}
+
 std::optional<BackendChoice> Backends::choose_for_read(const GroupView& view, const BackendNeed& need,
                                                        core::Instant now) const {
   std::shared_ptr<BackendPool> best;
@@ -284,7 +294,8 @@
 
 boost::asio::awaitable<core::Result<std::unique_ptr<StatementLease>>> Backends::acquire(
     BackendChoice choice, ConnectionRequest request) {
-  if (should_pass_on(*choice.pool, core::BootClock::now())) {
+  const core::Instant now = core::BootClock::now();
+  if (should_pass_on(*choice.pool, now) || belongs_to_another(*choice.pool, request, now)) {
     const core::DatabaseId& database = choice.pool->address().database;
     co_return forwarder_.lease(choice.pool, agent_.owner_table().owners(database), request);
   }
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -159,6 +159,8 @@
   /// Another owner of the database may have a connection to it.
   [[nodiscard]] bool others_serve(const BackendPool& pool, core::Instant now) const;
   [[nodiscard]] bool should_pass_on(const BackendPool& pool, core::Instant now) const;
+  [[nodiscard]] bool belongs_to_another(const BackendPool& pool, const ConnectionRequest& request,
+                                        core::Instant now) const;
   [[nodiscard]] core::Duration cost(const BackendPool& pool) const;
 
   boost::asio::io_context& io_;
--- /dev/null
+++ b/src/pooling/caller_access.cpp
@@ -0,0 +1,74 @@
+#include "pooling/caller_access.hpp"
+
+#include <utility>
+
+namespace pipitpond::pooling {
+
+using boost::asio::awaitable;
+
+CallerAccess::CallerAccess(boost::asio::io_context& io, agent::Agent& agent, core::DaemonId self,
+                           core::ZoneName zone, AccessOptions options)
+    : agent_(agent),
+      self_(self),
+      options_(options),
+      homes_(std::move(zone)),
+      home_(self, options.quotas),
+      asker_(io, std::move(self)),
+      take_own_([this](const core::TenantName& tenant) {
+        return home_.take(core::BootClock::now(), tenant, agent_.complete_until());
+      }) {}
+
+void CallerAccess::apply(core::Instant now, const protocol::Configuration& configuration) {
+  const bool new_table = configuration.routes.version != table_version_;
+  table_version_ = configuration.routes.version;
+  directory_.apply(configuration.routes);
+  const bool new_daemons = homes_.apply(configuration);
+  if (!directory_.keys_needed()) {
+    return;
+  }
+  asker_.apply(configuration);
+  if (new_table || new_daemons) {
+    const auto self = configuration.daemons.find(self_);
+    home_.apply(now, directory_, homes_, self == configuration.daemons.end() ? nullptr : &self->second);
+  }
+}
+
+bool CallerAccess::keys_are_certain(core::Instant now) const {
+  return !directory_.keys_needed() ||
+         tenancy::keys_are_certain(options_.keys, agent_.complete_until(), now);
+}
+
+tenancy::Access CallerAccess::judge(const protocol::Route& route, const protocol::KeyDigest& key,
+                                    core::Instant now) const {
+  return tenancy::judge(directory_, route, key, keys_are_certain(now));
+}
+
+awaitable<QuotaAnswer> CallerAccess::take_operation(core::TenantName tenant) {
+  const protocol::Tenant* known = directory_.find(tenant);
+  if (known == nullptr || !known->quota) {
+    co_return QuotaAnswer{QuotaOutcome::kGranted, {}};
+  }
+  co_return co_await asker_.take(homes_, std::move(tenant), take_own_);
+}
+
+QuotaReply CallerAccess::answer(core::Instant now, const QuotaRequest& request) {
+  return reply_of(home_.take(now, request.tenant, agent_.complete_until()));
+}
+
+void CallerAccess::count(tenancy::Verdict verdict) {
+  if (verdict == tenancy::Verdict::kUnknownKey) {
+    ++counters_.unknown_key;
+  } else if (verdict == tenancy::Verdict::kUncertain) {
+    ++counters_.keys_not_certain;
+  }
+}
+
+void CallerAccess::count(const QuotaAnswer& answer) {
+  if (answer.outcome == QuotaOutcome::kOverQuota) {
+    ++counters_.over_quota;
+  } else if (answer.outcome == QuotaOutcome::kNotTold) {
+    ++counters_.quota_not_told;
+  }
+}
+
+}  // namespace pipitpond::pooling
--- a/src/pooling/caller_session.cpp
+++ b/src/pooling/caller_session.cpp
@@ -6,9 +6,10 @@
 
 using boost::asio::awaitable;
 
-CallerSession::Transaction::Transaction(protocol::Route its_route, BackendChoice its_choice,
-                                        std::unique_ptr<StatementLease> its_lease)
+CallerSession::Transaction::Transaction(protocol::Route its_route, core::TenantName its_tenant,
+                                        BackendChoice its_choice, std::unique_ptr<StatementLease> its_lease)
     : route(std::move(its_route)),
+      tenant(std::move(its_tenant)),
       lease(std::move(its_lease)),
       choice(std::move(its_choice)),
       failed(false),
@@ -19,8 +20,8 @@
   return TraceStep{{}, event, choice.pool->address().database, choice.term, {}, std::move(detail)};
 }
 
-CallerSession::CallerSession(SessionServices& services, std::string database)
-    : services_(services), database_(std::move(database)) {
+CallerSession::CallerSession(SessionServices& services, std::string database, protocol::KeyDigest key)
+    : services_(services), database_(std::move(database)), key_(std::move(key)) {
   services_.sessions.insert(this);
 }
 
--- a/src/pooling/caller_session.hpp
+++ b/src/pooling/caller_session.hpp
@@ -12,6 +12,7 @@
 #include "core/clock.hpp"
 #include "core/log_position.hpp"
 #include "pooling/backends.hpp"
+#include "pooling/caller_access.hpp"
 #include "pooling/metrics.hpp"
 #include "pooling/request_trace.hpp"
 #include "pooling/routes.hpp"
@@ -27,6 +28,7 @@
   boost::asio::io_context& io;
   Backends& backends;
   Routes& routes;
+  CallerAccess& access;
   PoolingCounters& counters;
   StatementTimes& times;
   std::set<CallerSession*> sessions;  ///< All that are open.
@@ -35,7 +37,8 @@
 /// A session. Runs one statement at a time; must outlive a statement that runs.
 class CallerSession {
  public:
-  CallerSession(SessionServices& services, std::string database);
+  /// `key`: the digest of the caller's key; empty where none is needed.
+  CallerSession(SessionServices& services, std::string database, protocol::KeyDigest key = {});
   ~CallerSession();
   CallerSession(const CallerSession&) = delete;
   CallerSession& operator=(const CallerSession&) = delete;
@@ -56,10 +59,11 @@
  private:
   /// A transaction and the connection that it keeps.
   struct Transaction {
-    Transaction(protocol::Route its_route, BackendChoice its_choice,
+    Transaction(protocol::Route its_route, core::TenantName its_tenant, BackendChoice its_choice,
                 std::unique_ptr<StatementLease> its_lease);
 
     protocol::Route route;
+    core::TenantName tenant;                ///< For whom it was begun.
     std::unique_ptr<StatementLease> lease;  ///< Null once the connection is lost.
     BackendChoice choice;
     bool failed;
@@ -76,6 +80,7 @@
   /// One statement outside a transaction, or the begin of one, while a database is sought for it.
   struct Search {
     protocol::Route route;
+    tenancy::Access access;
     Statement statement;
     core::Instant started;
     core::Instant deadline;                     ///< Of the statement's run.
@@ -100,6 +105,12 @@
   StatementReply end_failed_transaction(const Statement& statement);
 
   boost::asio::awaitable<StatementReply> run_first(Statement statement);
+  /// Judges the caller's key, and takes an operation of its tenant's quota. A refusal: nothing else is to be
+  /// done.
+  boost::asio::awaitable<std::optional<StatementReply>> refuse_or_admit(Search& search);
+  /// The refusal of a key that may not ask now; nothing: it may, for the tenant that the search was begun for.
+  std::optional<StatementReply> refuse_key(Search& search) const;
+  std::optional<StatementReply> refuse_key_in_transaction(const Statement& statement);
   boost::asio::awaitable<StatementReply> search_until_answered(Search& search);
   void write_trace(const Search& search, const StatementReply& reply) const;
   void write_transaction_failure(const Statement& statement, core::Instant sent,
@@ -113,6 +124,7 @@
   [[nodiscard]] const char* reason_to_wait(const Search& search, const BackendNeed& need, core::Instant now);
   [[nodiscard]] bool surely_fresh(const Search& search, const BackendChoice& choice, const BackendNeed& need,
                                   core::Instant now) const;
+  [[nodiscard]] ConnectionRequest connection_request(const Search& search) const;
   boost::asio::awaitable<std::optional<StatementReply>> attempt(Search& search);
   boost::asio::awaitable<std::optional<StatementReply>> attempt_at(Search& search, BackendChoice choice,
                                                                    std::unique_ptr<StatementLease> lease);
@@ -135,6 +147,7 @@
 
   SessionServices& services_;
   std::string database_;
+  protocol::KeyDigest key_;
   SessionState session_;
   std::optional<Transaction> transaction_;
   std::optional<core::LogPosition> own_position_;  ///< Of this session's last acknowledged write.
--- a/src/pooling/caller_session_search.cpp
+++ b/src/pooling/caller_session_search.cpp
@@ -65,6 +65,11 @@
   if (!search) {
     co_return failed_reply(FailureCode::kUnknownDatabase, database_, TransactionState::kIdle);
   }
+  auto refusal = co_await refuse_or_admit(*search);
+  if (refusal) {
+    write_trace(*search, *refusal);
+    co_return std::move(*refusal);
+  }
   StatementReply reply = co_await search_until_answered(*search);
   write_trace(*search, reply);
   co_return reply;
@@ -156,12 +161,26 @@
   return nullptr;
 }
 
+// Not part of the coroutine: GCC 12 destroys a temporary of such an initializer twice there.
+ConnectionRequest CallerSession::connection_request(const Search& search) const {
+  ConnectionRequest request;
+  request.priority = search.route.priority;
+  request.deadline = search.stop_waiting;
+  request.session = &session_;
+  request.goal = search.goal;
+  request.tenant = search.access.tenant;
+  return request;
+}
+
 awaitable<std::optional<StatementReply>> CallerSession::attempt(Search& search) {
   if (lacks_position(search, need_of(search, core::BootClock::now() + search.longest_wait))) {
     co_await services_.backends.ask_position(search.route.group,
                                              std::chrono::milliseconds(search.route.max_staleness_ms));
   }
   const core::Instant now = core::BootClock::now();
+  if (auto refusal = refuse_key(search)) {
+    co_return refusal;  // It may have waited for long since it was admitted.
+  }
   const BackendNeed need = need_of(search, now + search.longest_wait);
   if (const char* reason = reason_to_wait(search, need, now)) {
     search.trace.add(now, TraceStep{{}, TraceEvent::kWaits, {}, 0, {}, reason});
@@ -176,7 +195,7 @@
     search.pause = kNoBackendPause;
     co_return std::nullopt;
   }
-  const ConnectionRequest request{search.route.priority, search.stop_waiting, &session_, search.goal};
+  const ConnectionRequest request = connection_request(search);
   auto lease = co_await services_.backends.acquire(*choice, request);
   if (!lease) {
     search.last_failure = Failure{FailureCode::kBusy, lease.error().message};
@@ -194,6 +213,9 @@
   const core::Instant sent = core::BootClock::now();
   // The wait for the connection may have been long, and may go on: what was fresh enough when the database
   // was chosen may not be any more when the statement runs.
+  if (auto refusal = refuse_key(search)) {
+    co_return refusal;
+  }
   const BackendNeed need = need_of(search, sent + lease->longest_wait());
   if (!choice.is_primary && lacks_position(search, need)) {
     // A replica's answer would prove nothing. The next attempt leaves room for such a wait.
@@ -320,7 +342,7 @@
     ++(choice.is_primary ? services_.counters.reads_at_primaries : services_.counters.reads_at_replicas);
   }
   if (begins_transaction(search.statement)) {
-    transaction_.emplace(search.route, choice, std::move(lease));
+    transaction_.emplace(search.route, search.access.tenant, choice, std::move(lease));
   }
   return reply;
 }
--- a/src/pooling/caller_session_transaction.cpp
+++ b/src/pooling/caller_session_transaction.cpp
@@ -43,6 +43,9 @@
 }
 
 awaitable<StatementReply> CallerSession::run_in_transaction(Statement statement) {
+  if (auto refusal = refuse_key_in_transaction(statement)) {
+    co_return std::move(*refusal);
+  }
   const core::Duration timeout = std::chrono::milliseconds(transaction_->route.timeout_ms);
   const core::Instant sent = core::BootClock::now();
   auto ran = co_await run_on_lease(statement, sent + timeout);
--- a/src/pooling/daemon.cpp
+++ b/src/pooling/daemon.cpp
@@ -55,14 +55,17 @@
       adapters_(std::move(adapters)),
       agent_(std::move(agent)),
       backends_(io, *adapters_.connector, *agent_, options_.id, options_.zone),
-      services_{io, backends_, routes_, counters_, times_, {}},
-      forwards_(backends_) {}
+      access_(io, *agent_, options_.id, options_.zone, options_.access),
+      services_{io, backends_, routes_, access_, counters_, times_, {}},
+      forwards_(backends_, access_) {}
 
 Daemon::~Daemon() = default;
 
 core::Result<void> Daemon::open_ports() {
   SessionHost host;
-  host.open = [this](const std::string& database) { return open_session(database); };
+  host.open = [this](const std::string& database, const protocol::KeyDigest& key) {
+    return open_session(database, key);
+  };
   listener_ = adapters_.make_listener(io_, std::move(host));
   const auto listening = listener_->start();
   if (!listening) {
@@ -109,6 +112,7 @@
                                      configuration.routes.version, configuration.revision);
   }
   routes_.apply(configuration.routes);
+  access_.apply(core::BootClock::now(), configuration);
   backends_.apply(configuration);
 }
 
@@ -134,16 +138,26 @@
   }
 }
 
-core::Result<std::unique_ptr<CallerSession>> Daemon::open_session(const std::string& database) {
+core::Result<std::unique_ptr<CallerSession>> Daemon::open_session(const std::string& database,
+                                                                 const protocol::KeyDigest& key) {
   if (routes_.version() == 0) {
     return core::fail(core::ErrorKind::kUnavailable, "No routes have been received from control yet.",
                       "Try again in a second.", 1000);
   }
-  if (!routes_.find(database)) {
+  const auto route = routes_.find(database);
+  if (!route) {
     return core::fail(core::ErrorKind::kNotFound, "No route serves database " + database + ".",
                       "Name a database of the route table.");
   }
-  return std::make_unique<CallerSession>(services_, database);
+  const tenancy::Verdict verdict = access_.judge(*route, key, core::BootClock::now()).verdict;
+  if (verdict != tenancy::Verdict::kAllowed) {
+    access_.count(verdict);
+    const bool unknown = verdict == tenancy::Verdict::kUnknownKey;
+    return core::fail(unknown ? core::ErrorKind::kPermissionDenied : core::ErrorKind::kUnavailable,
+                      unknown ? "Nobody holds this key." : "This daemon can't be sure of the keys.",
+                      unknown ? "Use a key of a tenant." : "Try again at another daemon.");
+  }
+  return std::make_unique<CallerSession>(services_, database, key);
 }
 
 // --- Readiness and metrics
@@ -180,6 +194,9 @@
   if (!had_lease_ && core::BootClock::now() - last_certain > kReadyWithoutLease) {
     return "Control is out of reach.";
   }
+  if (!access_.keys_are_certain(core::BootClock::now())) {
+    return "The callers' keys are not certain.";
+  }
   return {};
 }
 
@@ -226,6 +243,7 @@
   }
   co_await close_quiet_sessions(give_up);
   log->info("event=drain_ended sessions={} forwarded={}", listener_->sessions(), forwards_.in_progress());
+  access_.stop();
   agent_->set_leaving();
   backends_.close();
   co_await agent_->depart(kFarewell / 2);
--- a/src/pooling/daemon.hpp
+++ b/src/pooling/daemon.hpp
@@ -11,6 +11,7 @@
 #include "agent/agent.hpp"
 #include "http/server.hpp"
 #include "pooling/backends.hpp"
+#include "pooling/caller_access.hpp"
 #include "pooling/caller_session.hpp"
 #include "pooling/forward_service.hpp"
 #include "pooling/listener.hpp"
@@ -52,7 +53,8 @@
   boost::asio::awaitable<void> tick();
   boost::asio::awaitable<void> drain(std::function<void()> stopped);
   boost::asio::awaitable<void> close_quiet_sessions(core::Instant until);
-  core::Result<std::unique_ptr<CallerSession>> open_session(const std::string& database);
+  core::Result<std::unique_ptr<CallerSession>> open_session(const std::string& database,
+                                                            const protocol::KeyDigest& key);
   void serve_admin(const http::Request& request, const http::Responder& respond);
   [[nodiscard]] std::string not_ready_reason() const;
   void log_readiness();
@@ -64,6 +66,7 @@
   std::unique_ptr<agent::Agent> agent_;
   Backends backends_;
   Routes routes_;
+  CallerAccess access_;
   PoolingCounters counters_;
   StatementTimes times_;
   SessionServices services_;
--- a/src/pooling/forward_messages.hpp
+++ b/src/pooling/forward_messages.hpp
@@ -29,8 +29,10 @@
   std::uint32_t wait_ms = 0;               ///< For a connection.
   std::uint32_t goal_ms = 0;               ///< After which an answer is late.
   std::uint32_t timeout_ms = 0;            ///< For everything.
+  core::TenantName tenant;                 ///< Whose connection it must be; empty: nobody's in particular.
 
-  MSGPACK_DEFINE(database, transaction, session, statement, after, priority, wait_ms, goal_ms, timeout_ms);
+  MSGPACK_DEFINE(database, transaction, session, statement, after, priority, wait_ms, goal_ms, timeout_ms,
+                 tenant);
 };
 
 /// What came of it.
--- a/src/pooling/forward_service.cpp
+++ b/src/pooling/forward_service.cpp
@@ -46,10 +46,21 @@
   return std::chrono::milliseconds(millis);
 }
 
+/// `asked` outlives the request. Not part of a coroutine: GCC 12 destroys a temporary of such an initializer twice.
+ConnectionRequest connection_request(const ForwardedStatement& asked, core::Instant begun) {
+  ConnectionRequest request;
+  request.priority = asked.priority;
+  request.deadline = begun + duration_of(asked.wait_ms);
+  request.session = &asked.session;
+  request.goal = begun + duration_of(asked.goal_ms);
+  request.tenant = asked.tenant;
+  return request;
+}
+
 }  // namespace
 
-ForwardService::ForwardService(Backends& backends)
-    : backends_(backends), last_transaction_(first_transaction()) {}
+ForwardService::ForwardService(Backends& backends, CallerAccess& access)
+    : backends_(backends), access_(access), last_transaction_(first_transaction()) {}
 
 awaitable<core::Result<std::string>> ForwardService::handle(wire::PeerId peer, wire::MessageType type,
                                                             std::string body) {
@@ -77,6 +88,13 @@
     }
     co_return wire::pack(backends_.known_positions(request.value(), core::BootClock::now()));
   }
+  if (type == wire::MessageType::kQuota) {
+    const auto request = wire::unpack<QuotaRequest>(body);
+    if (!request) {
+      co_return request.error();
+    }
+    co_return wire::pack(access_.answer(core::BootClock::now(), request.value()));
+  }
   if (type != wire::MessageType::kStatement) {
     co_return core::fail(core::ErrorKind::kInvalidArgument, "This daemon takes no such message.",
                          "Run the same version of pipitpond on every machine.");
@@ -114,8 +132,7 @@
   if (!pool) {
     co_return not_run("The database is not known here.");
   }
-  ConnectionRequest request{asked.priority, begun + duration_of(asked.wait_ms), &asked.session};
-  request.goal = begun + duration_of(asked.goal_ms);
+  const ConnectionRequest request = connection_request(asked, begun);
   auto lease = co_await BackendPool::acquire(pool, request);
   if (!lease) {
     co_return not_run_here(lease.error());
--- a/src/pooling/forward_service.hpp
+++ b/src/pooling/forward_service.hpp
@@ -12,6 +12,7 @@
 
 #include "core/error.hpp"
 #include "pooling/backends.hpp"
+#include "pooling/caller_access.hpp"
 #include "pooling/forward_messages.hpp"
 #include "pooling/statement_lease.hpp"
 #include "wire/server.hpp"
@@ -21,7 +22,7 @@
 /// The owner's side of a StatementForwarder.
 class ForwardService {
  public:
-  explicit ForwardService(Backends& backends);
+  ForwardService(Backends& backends, CallerAccess& access);
 
   /// Handler and closing of a wire::Server.
   boost::asio::awaitable<core::Result<std::string>> handle(wire::PeerId peer, wire::MessageType type,
@@ -61,6 +62,7 @@
   void end(wire::PeerId peer, ForwardedTransaction transaction);
 
   Backends& backends_;
+  CallerAccess& access_;
   std::map<ForwardedTransaction, HeldPointer> transactions_;
   std::set<wire::PeerId> peers_;  ///< That have sent a statement and are still connected.
   ForwardedTransaction last_transaction_;
--- a/src/pooling/listener.hpp
+++ b/src/pooling/listener.hpp
@@ -14,9 +14,12 @@
 
 /// What a listener needs of the daemon.
 struct SessionHost {
-  /// Opens a session for a database name. Fails with kNotFound when no route serves it, with kUnavailable
-  /// before there are routes.
-  std::function<core::Result<std::unique_ptr<CallerSession>>(const std::string& database)> open;
+  /// Opens a session for a database name and the digest of a caller's key. Fails with kNotFound when no route
+  /// serves the name, with kPermissionDenied when nobody holds the key, with kUnavailable while that can't be
+  /// told.
+  std::function<core::Result<std::unique_ptr<CallerSession>>(const std::string& database,
+                                                             const protocol::KeyDigest& key)>
+      open;
 };
 
 /// Accepts callers and carries their statements to sessions and the answers back.
--- a/src/pooling/metrics.hpp
+++ b/src/pooling/metrics.hpp
@@ -22,7 +22,7 @@
   std::uint64_t retried = 0;
   std::uint64_t given_up = 0;
   std::uint64_t transactions_ended_idle = 0;
-  std::array<std::uint64_t, 14> failures{};  ///< By FailureCode.
+  std::array<std::uint64_t, kFailureCodes> failures{};  ///< By FailureCode.
 };
 
 /// Times of callers' statements, by the kind of their route and their outcome.
--- a/src/pooling/options.cpp
+++ b/src/pooling/options.cpp
@@ -7,6 +7,11 @@
 
 constexpr settings::Range kPort{1, 65535};
 constexpr settings::Range kGraceMillis{1000, 3'600'000};
+/// A second is the least: a daemon hears from control each half second, and half a second is kept back.
+constexpr settings::Range kRevocationMillis{1500, 3'600'000};
+constexpr settings::Range kWindowMillis{100, 3'600'000};
+constexpr settings::Range kPercent{0, 1000};
+constexpr settings::Range kSlack{0, 1'000'000};
 /// A daemon that stood still for so long has no lease any more anyway.
 constexpr core::Duration kStandstillLimit = protocol::kDaemonLease;
 
@@ -29,6 +34,15 @@
       .required();
   section_.text("admin.ready_path", options_.ready_path, "Path that answers 200 while the daemon is ready");
   section_.duration("stop.grace_ms", options_.stop_grace, kGraceMillis, "A planned stop takes no longer");
+  section_.duration("tenants.revocation_ms", revocation_, kRevocationMillis,
+                    "A removed key stops working everywhere this long after the removal was acknowledged; leave "
+                    "out to judge keys by the last known table, however old");
+  section_.duration("tenants.quota_window_ms", options_.access.quotas.window, kWindowMillis,
+                    "Span over which tenants' quotas are kept");
+  section_.integer("tenants.quota_excess_percent", quota_excess_percent_, kPercent,
+                   "By how much of it a quota may be exceeded within a span");
+  section_.integer("tenants.quota_slack", options_.access.quotas.slack, kSlack,
+                   "Operations by which a quota may be exceeded besides");
   section_.check([this] { return check(); });
 }
 
@@ -36,6 +50,11 @@
   PoolingOptions options = options_;
   options.id = core::DaemonId(id_);
   options.zone = core::ZoneName(zone_);
+  if (revocation_ > core::Duration::zero()) {
+    options.access.keys.revocation = revocation_;
+  }
+  constexpr double kWhole = 100;
+  options.access.quotas.excess = quota_excess_percent_ / kWhole;
   return options;
 }
 
--- a/src/pooling/options.hpp
+++ b/src/pooling/options.hpp
@@ -9,6 +9,7 @@
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/ids.hpp"
+#include "pooling/caller_access.hpp"
 #include "settings/section.hpp"
 
 namespace pipitpond::pooling {
@@ -25,6 +26,7 @@
   std::string data_folder;                    ///< Empty: this machine has no disk.
   std::string ready_path = "/readyz";
   core::Duration stop_grace = std::chrono::seconds(6);  ///< A planned stop takes no longer.
+  AccessOptions access;
 
   [[nodiscard]] agent::AgentOptions agent_options() const;
 };
@@ -45,6 +47,8 @@
   PoolingOptions options_;
   std::string id_;
   std::string zone_;
+  core::Duration revocation_{};  ///< Zero: not told.
+  std::uint32_t quota_excess_percent_ = 10;
 };
 
 }  // namespace pipitpond::pooling
--- /dev/null
+++ b/src/pooling/quota_asker.hpp
@@ -0,0 +1,83 @@
+// Asks tenants' homes for the right to run operations, one home after the other. Single-threaded.
+#pragma once
+
+#include <utility>  // Before Asio's coroutine headers, which lack it.
+//
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "core/clock.hpp"
+#include "core/endpoint.hpp"
+#include "core/error.hpp"
+#include "core/ids.hpp"
+#include "pooling/quota_messages.hpp"
+#include "protocol/configuration.hpp"
+#include "tenancy/quota_homes.hpp"
+#include "wire/channel.hpp"
+
+namespace pipitpond::pooling {
+
+/// What came of a question.
+enum class QuotaOutcome : std::uint8_t {
+  kGranted,
+  kOverQuota,  ///< At least one home has none left, and no other one gave any.
+  kNotTold,    ///< No home could be asked.
+};
+
+struct QuotaAnswer {
+  QuotaOutcome outcome = QuotaOutcome::kNotTold;
+  core::Duration retry_in{};  ///< Not granted: when to come back.
+};
+
+/// Counts since the start.
+struct QuotaCounters {
+  std::uint64_t asked = 0;     ///< Questions to other daemons.
+  std::uint64_t unanswered = 0;
+};
+
+/// Grants an operation where this daemon itself is the home.
+using TakeOwn = std::function<tenancy::QuotaGrant(const core::TenantName&)>;
+
+/// The asking side of tenancy::QuotaHome.
+class QuotaAsker {
+ public:
+  QuotaAsker(boost::asio::io_context& io, core::DaemonId self);
+
+  /// Follows the daemons that the configuration names.
+  void apply(const protocol::Configuration& configuration);
+  boost::asio::awaitable<QuotaAnswer> take(const tenancy::QuotaHomes& homes, core::TenantName tenant,
+                                           const TakeOwn& take_own);
+
+  [[nodiscard]] const QuotaCounters& counters() const { return counters_; }
+
+ private:
+  struct Link {
+    core::Endpoint endpoint;
+    std::uint64_t incarnation = 0;
+    std::shared_ptr<wire::Channel> channel;  ///< Null until it is asked for the first time.
+    core::Instant avoided_until{};           ///< It did not answer, or is no home.
+    std::map<core::TenantName, core::Instant> empty_until;
+  };
+  using LinkPointer = std::shared_ptr<Link>;
+
+  boost::asio::awaitable<core::Result<QuotaReply>> ask(LinkPointer link, core::TenantName tenant);
+
+  boost::asio::io_context& io_;
+  core::DaemonId self_;
+  std::map<core::DaemonId, LinkPointer> links_;
+  QuotaCounters counters_;
+};
+
+/// A home answers at once, from memory: what has not come by now (a way between zones and back takes 2 ms) is not
+/// worth waiting for while there are others.
+inline constexpr core::Duration kQuotaTimeout = std::chrono::milliseconds(120);
+/// A home that did not answer is left alone for this long.
+inline constexpr core::Duration kAvoidSilentHome = std::chrono::milliseconds(300);
+/// When a caller may come back after no home could be asked.
+inline constexpr core::Duration kQuotaComeBack = std::chrono::milliseconds(200);
+
+}  // namespace pipitpond::pooling
--- a/src/pooling/statement.cpp
+++ b/src/pooling/statement.cpp
@@ -34,6 +34,8 @@
       return "bad";
     case FailureCode::kDenied:
       return "denied";
+    case FailureCode::kOverQuota:
+      return "over_quota";
   }
   return "unknown";
 }
@@ -68,6 +70,7 @@
     case FailureCode::kWrongDatabase:
     case FailureCode::kTooManyConnections:
     case FailureCode::kNoStatement:
+    case FailureCode::kOverQuota:
       return true;
     default:
       return false;
--- a/src/pooling/statement.hpp
+++ b/src/pooling/statement.hpp
@@ -55,6 +55,7 @@
   kTooLarge,            ///< Over a limit of size.
   kBad,                 ///< Not understood, or not allowed in this state.
   kDenied,              ///< The caller may not.
+  kOverQuota,           ///< Not run: the tenant has asked for more than it may.
 };
 
 /// Short text of a code, for logs and metrics.
@@ -95,6 +96,9 @@
 /// A reply that failed.
 StatementReply failed_reply(FailureCode code, std::string text, TransactionState state);
 
+/// Number of codes.
+inline constexpr std::size_t kFailureCodes = 15;
+
 /// True for failures that promise that the statement was not run.
 bool surely_not_run(FailureCode code);
 
--- a/src/pooling/statement_forwarder.cpp
+++ b/src/pooling/statement_forwarder.cpp
@@ -4,11 +4,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <iterator>
-#include <tuple>
 #include <utility>
 
 #include "logging/logging.hpp"
 #include "ownership/owner_choice.hpp"
+#include "pooling/owner_preference.hpp"
 #include "wire/codec.hpp"
 
 namespace pipitpond::pooling {
@@ -68,6 +68,7 @@
     message.statement = std::move(statement.statement);
     message.after = statement.after;
     message.priority = request_.priority;
+    message.tenant = request_.tenant.value_or(core::TenantName());
     const core::Instant give_up = core::BootClock::now() + timeout;
     if (transaction_ != 0) {
       co_return co_await run_in_transaction(std::move(message), give_up);
@@ -96,7 +97,7 @@
     core::Error last = not_run("No daemon that owns connections to the database can be reached.");
     while (std::ssize(tried) < kOwnersTried) {
       const core::Instant now = core::BootClock::now();
-      link_ = forwarder_.choose(owners_, tried, *pool_, now);
+      link_ = forwarder_.choose(owners_, tried, *pool_, message.tenant, now);
       if (!link_ || now > stop_offering) {
         break;
       }
@@ -231,7 +232,7 @@
 awaitable<core::Result<BackendStatus>> StatementForwarder::status(std::shared_ptr<BackendPool> pool,
                                                                   std::vector<core::DaemonId> owners,
                                                                   core::Duration timeout) {
-  const LinkPointer link = choose(owners, {}, *pool, core::BootClock::now());
+  const LinkPointer link = choose(owners, {}, *pool, {}, core::BootClock::now());
   if (!link) {
     co_return not_run("No daemon that owns connections to the database can be reached.");
   }
@@ -248,7 +249,7 @@
                                                                      std::vector<core::DaemonId> owners,
                                                                      PositionRequest request,
                                                                      core::Duration timeout) {
-  const LinkPointer link = choose(owners, {}, *primary, core::BootClock::now());
+  const LinkPointer link = choose(owners, {}, *primary, {}, core::BootClock::now());
   if (!link) {
     co_return not_run("No daemon that owns connections to the primary can be reached.");
   }
@@ -267,14 +268,11 @@
 
 StatementForwarder::LinkPointer StatementForwarder::choose(const std::vector<core::DaemonId>& owners,
                                                            const std::vector<core::DaemonId>& tried,
-                                                           const BackendPool& pool, core::Instant now) const {
-  // The way to the database crosses zones once at most by an owner in either end's zone.
-  const auto distance = [&](const OwnerLink& link) {
-    const bool near = link.zone == zone_;
-    const bool at_the_database = link.zone == pool.zone();
-    return near ? 0 : (at_the_database ? 1 : 2);
-  };
+                                                           const BackendPool& pool, const core::TenantName& tenant,
+                                                           core::Instant now) const {
+  const OwnerQuestion question{tenant, zone_, pool.zone()};
   LinkPointer best;
+  OwnerRank least;
   for (const core::DaemonId& owner : owners) {
     const auto found = links_.find(owner);
     const bool offered = std::find(tried.begin(), tried.end(), owner) != tried.end();
@@ -282,15 +280,24 @@
       continue;
     }
     const LinkPointer& link = found->second;
-    const bool better = !best || std::make_tuple(distance(*link), link->outstanding, link->preference) <
-                                     std::make_tuple(distance(*best), best->outstanding, best->preference);
-    if (better) {
+    const OwnerRank its_rank =
+        rank(OwnerCandidate{&link->daemon, &link->zone, link->outstanding, link->preference}, question);
+    if (!best || its_rank < least) {
       best = link;
+      least = its_rank;
     }
   }
   return best;
 }
 
+bool StatementForwarder::prefers_another(const std::vector<core::DaemonId>& owners, const BackendPool& pool,
+                                         const core::TenantName& tenant, core::Instant now) const {
+  const LinkPointer best = choose(owners, {}, pool, tenant, now);
+  const OwnerQuestion question{tenant, zone_, pool.zone()};
+  return best && rank(OwnerCandidate{&best->daemon, &best->zone, best->outstanding, best->preference}, question) <
+                     rank(OwnerCandidate{&self_, &zone_, 0, 0}, question);
+}
+
 void StatementForwarder::tick(core::Instant now) {
   for (const auto& [id, link] : links_) {
     if (link->health.take_probe(now)) {
--- a/src/pooling/statement_forwarder.hpp
+++ b/src/pooling/statement_forwarder.hpp
@@ -66,6 +66,9 @@
   /// True when one of the owners can be asked.
   [[nodiscard]] bool reaches(const std::vector<core::DaemonId>& owners, const core::DatabaseId& database,
                              core::Instant now) const;
+  /// True when a tenant's statements are better run by another owner, although this daemon owns connections too.
+  [[nodiscard]] bool prefers_another(const std::vector<core::DaemonId>& owners, const BackendPool& pool,
+                                     const core::TenantName& tenant, core::Instant now) const;
   /// A lease on a connection of one of the owners. Nothing is sent before its first statement.
   std::unique_ptr<StatementLease> lease(const std::shared_ptr<BackendPool>& pool,
                                         std::vector<core::DaemonId> owners, const ConnectionRequest& request);
@@ -90,14 +93,10 @@
 
   [[nodiscard]] static bool usable(const OwnerLink& link, const core::DatabaseId& database,
                                    core::Instant now);
-  /// The best of the owners that were not tried: a near one with little to do. Null: none is left.
-  ///
-  /// Of owners that are alike each daemon prefers another one. In the owners' own order all daemons of a zone
-  /// would ask the same one: on a fleet of 291 daemons, 58 to a zone, its few connections were waited for
-  /// while those of the other owners were idle.
+  /// The best of the owners that were not tried; see rank. Null: none is left.
   [[nodiscard]] LinkPointer choose(const std::vector<core::DaemonId>& owners,
                                    const std::vector<core::DaemonId>& tried, const BackendPool& pool,
-                                   core::Instant now) const;
+                                   const core::TenantName& tenant, core::Instant now) const;
   boost::asio::awaitable<void> probe(LinkPointer link);
   void renew_channel(OwnerLink& link);
 
--- a/src/protocol/configuration.cpp
+++ b/src/protocol/configuration.cpp
@@ -21,6 +21,9 @@
   edit.kept_first = static_cast<std::uint64_t>(first.first - before.routes.begin());
   edit.replaced = static_cast<std::uint64_t>(last.first.base() - first.first);
   edit.inserted.assign(first.second, last.second.base());
+  if (after.tenants) {
+    edit.tenants = edit_between(before.tenants.value_or(Tenants{}), *after.tenants);
+  }
   return edit;
 }
 
@@ -39,6 +42,14 @@
   }
   table.version = edit.version;
   table.transaction_idle_ms = edit.transaction_idle_ms;
+  if (!edit.tenants) {
+    table.tenants.reset();
+    return true;
+  }
+  if (!table.tenants) {
+    table.tenants.emplace();
+  }
+  apply(*table.tenants, *edit.tenants);
   return true;
 }
 
--- a/src/protocol/configuration.hpp
+++ b/src/protocol/configuration.hpp
@@ -11,6 +11,7 @@
 #include "core/endpoint.hpp"
 #include "core/ids.hpp"
 #include "core/log_position.hpp"
+#include "protocol/tenant.hpp"
 
 namespace pipitpond::protocol {
 
@@ -103,11 +104,12 @@
   std::uint32_t priority = 0;          ///< 0 goes first.
   std::uint32_t max_attempts = 0;      ///< 0: not told.
   std::uint32_t max_staleness_ms = 0;  ///< Of kBounded and kSession.
+  bool is_public = false;              ///< Callers need no key.
 
   bool operator==(const Route&) const = default;
 
   MSGPACK_DEFINE(name, database, path_prefix, kind, group, timeout_ms, goal_ms, priority, max_attempts,
-                 max_staleness_ms);
+                 max_staleness_ms, is_public);
 };
 
 /// What a table of routes says about one group.
@@ -128,10 +130,12 @@
   std::vector<RoutedGroup> groups;
   std::uint32_t transaction_idle_ms =
       0;  ///< A transaction without a statement for this long is ended; 0: never.
+  /// Who may ask on routes that are not public. Nothing: the table knows no tenants, and callers need no key.
+  std::optional<Tenants> tenants;
 
   bool operator==(const RouteTable&) const = default;
 
-  MSGPACK_DEFINE(version, routes, groups, transaction_idle_ms);
+  MSGPACK_DEFINE(version, routes, groups, transaction_idle_ms, tenants);
 };
 
 /// What turns one table of routes into the next: routes at the front and at the back stay as they are, those
@@ -145,8 +149,9 @@
   std::vector<Route> inserted;                     ///< What comes in their place.
   std::optional<std::vector<RoutedGroup>> groups;  ///< Empty: as they were.
   std::uint32_t transaction_idle_ms = 0;
+  std::optional<TenantsEdit> tenants;  ///< Nothing: the new table knows no tenants.
 
-  MSGPACK_DEFINE(base_version, version, kept_first, replaced, inserted, groups, transaction_idle_ms);
+  MSGPACK_DEFINE(base_version, version, kept_first, replaced, inserted, groups, transaction_idle_ms, tenants);
 };
 
 /// The edit that turns `before` into `after`.
@@ -166,8 +171,11 @@
   core::Endpoint callers;   ///< For callers.
   DaemonState state = DaemonState::kLive;
   Revision revision = 0;
+  /// Revision at which it became live after it had not been: a restart that control did not notice in time to
+  /// remove it leaves this alone.
+  Revision live_since = 0;
 
-  MSGPACK_DEFINE(id, incarnation, zone, internal, callers, state, revision);
+  MSGPACK_DEFINE(id, incarnation, zone, internal, callers, state, revision, live_since);
 };
 
 /// A control replica as daemons and operators reach it. Consensus keeps its own list of voters.
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -18,6 +18,7 @@
   kPeerProbe = 10,      ///< Empty, both ways: a sign of life, daemon to owner daemon.
   kDatabaseStatus =
       11,  ///< pooling::ForwardedStatusRequest -> pooling::BackendStatus, daemon to owner daemon.
+  kQuota = 13,             ///< pooling::QuotaRequest -> pooling::QuotaReply, daemon to a tenant's home daemon.
   kPrimaryPositions = 12,  ///< pooling::PositionRequest -> pooling::PositionReply, daemon to owner daemon.
 };
 
--- a/tests/agent/session_test.cpp
+++ b/tests/agent/session_test.cpp
@@ -113,6 +113,35 @@
   EXPECT_TRUE(session_.lease_valid(now_));
 }
 
+TEST_F(SessionTest, TheConfigurationIsCompleteUpToTheQuestionThatTheLeaderAnswered) {
+  EXPECT_EQ(session_.complete_until(), core::Instant{});
+  const SendHeartbeat sent = next_heartbeat();
+  const core::Instant sent_at = now_;
+  tick_until(sent_at + milliseconds(200));
+  session_.on_heartbeat_reply(now_, sent.to, grant(sent));
+  EXPECT_EQ(session_.complete_until(), core::Instant{}) << "revision 1 is not in force here yet";
+  protocol::FetchReply fetched;
+  fetched.changes = {change(1)};
+  ASSERT_NE(session_.take_fetch_reply(now_, fetched), nullptr);
+  session_.apply_fetched(now_);
+  EXPECT_EQ(session_.complete_until(), sent_at) << "not up to the answer's arrival";
+}
+
+TEST_F(SessionTest, OnlyALeaderThatIsSureOfItsOfficeProvesTheConfigurationComplete) {
+  const SendHeartbeat first = next_heartbeat();
+  protocol::HeartbeatReply without_quorum = grant(first);
+  without_quorum.current = 0;
+  session_.on_heartbeat_reply(now_, first.to, without_quorum);
+  EXPECT_EQ(session_.complete_until(), core::Instant{});
+  tick_until(now_ + milliseconds(600));
+  const auto second = taken_heartbeat();
+  ASSERT_TRUE(second.has_value());
+  protocol::HeartbeatReply of_follower = grant(*second);
+  of_follower.from_leader = false;
+  session_.on_heartbeat_reply(now_, second->to, of_follower);
+  EXPECT_EQ(session_.complete_until(), core::Instant{});
+}
+
 TEST_F(SessionTest, AnAnswerFromBeforeAFreezeRenewsNothing) {
   const SendHeartbeat sent = next_heartbeat();
   now_ += protocol::kDaemonLease + milliseconds(1);
--- a/tests/configuration/registry_test.cpp
+++ b/tests/configuration/registry_test.cpp
@@ -78,6 +78,61 @@
   EXPECT_EQ(machine_.configuration().routes.version, 7U);
 }
 
+protocol::Tenant tenant(const std::string& name, const std::vector<std::string>& keys) {
+  protocol::Tenant made;
+  made.name = core::TenantName(name);
+  for (const std::string& key : keys) {
+    made.keys.push_back(protocol::KeyDigest{key});
+  }
+  return made;
+}
+
+TEST_F(RegistryTest, TenantsAreReplacedWithTheTable) {
+  PutRouteTable put = table(1);
+  put.table.tenants = protocol::Tenants{tenant("a", {"k1"}), tenant("b", {"k2"})};
+  EXPECT_TRUE(apply(put).changed);
+  put.table.version = 2;
+  put.table.tenants = protocol::Tenants{tenant("a", {}), tenant("c", {"k1", "k2"})};
+  EXPECT_TRUE(apply(put).changed);
+  EXPECT_EQ(machine_.configuration().routes.tenants, put.table.tenants);
+  EXPECT_TRUE(apply(table(3)).changed);
+  EXPECT_FALSE(machine_.configuration().routes.tenants.has_value());
+}
+
+TEST_F(RegistryTest, TenantsThatShareAKeyOrANameAreInvalidAndChangeNothing) {
+  apply(table(1));
+  PutRouteTable shared = table(2);
+  shared.table.tenants = protocol::Tenants{tenant("a", {"k1", "k2"}), tenant("b", {"k3", "k2"})};
+  const CommandResult refused = apply(shared);
+  ASSERT_TRUE(refused.error);
+  EXPECT_EQ(core::describe(*refused.error).find("k2"), std::string::npos);
+  PutRouteTable same_name = table(2);
+  same_name.table.tenants = protocol::Tenants{tenant("a", {"k1"}), tenant("a", {"k2"})};
+  EXPECT_TRUE(apply(same_name).error);
+  PutRouteTable nameless = table(2);
+  nameless.table.tenants = protocol::Tenants{tenant("two words", {"k1"})};
+  EXPECT_TRUE(apply(nameless).error) << "a name stands in a line of words";
+  EXPECT_EQ(machine_.configuration().routes.version, 1U);
+}
+
+TEST_F(RegistryTest, ARestartThatNobodyNoticedLeavesADaemonLiveSinceItsFirstAdmission) {
+  const auto admit = [&](std::uint64_t incarnation) {
+    return apply(AdmitDaemon{core::DaemonId("d"), incarnation, core::ZoneName("z"), {"127.0.0.1", 1}, {}});
+  };
+  const auto since = [&] { return machine_.configuration().daemons.at(core::DaemonId("d")).live_since; };
+  admit(1);
+  const protocol::Revision first = since();
+  admit(2);
+  EXPECT_EQ(since(), first);
+  apply(SetDaemonState{core::DaemonId("d"), 2, protocol::DaemonState::kLeaving});
+  admit(3);
+  EXPECT_GT(since(), first);
+  const protocol::Revision second = since();
+  apply(RemoveDaemon{core::DaemonId("d"), 3});
+  admit(4);
+  EXPECT_GT(since(), second);
+}
+
 TEST_F(RegistryTest, ATableCreatesItsGroupsAndLimitsTheirDatabases) {
   apply(database("a", 9001));
   EXPECT_EQ(plates().databases[0].max_owners, 0U) << "no limit is known yet";
--- a/tests/control/memory_cluster.cpp
+++ b/tests/control/memory_cluster.cpp
@@ -32,7 +32,8 @@
 MemoryCluster::MemoryCluster(boost::asio::io_context& io) : io_(io) {
   raft::Membership membership;
   for (const std::string& name : names()) {
-    membership.members.push_back(raft::Member{core::ControlId(name), {}, {}, raft::MemberRole::kVoter, {}});
+    membership.members.push_back(
+        raft::Member{core::ControlId(name), {}, operators_of(name), raft::MemberRole::kVoter, {}});
   }
   const auto founding = raft::bootstrap(membership, configuration::StateMachine().snapshot());
   for (const std::string& name : names()) {
--- a/tests/control/memory_cluster.hpp
+++ b/tests/control/memory_cluster.hpp
@@ -30,6 +30,11 @@
   raft::PersistedState state_;
 };
 
+/// Where operators would reach a replica.
+inline core::Endpoint operators_of(const std::string& name) {
+  return {name, 8780};
+}
+
 /// The replicas "c1" to "c3".
 class MemoryCluster {
  public:
--- a/tests/platform/control_requests_test.cpp
+++ b/tests/platform/control_requests_test.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "control/route_json.hpp"
+#include "tenancy/key_digest.hpp"
 
 namespace pipitpond::platform {
 namespace {
@@ -55,6 +56,39 @@
   EXPECT_FALSE(put(R"({"Version":1,"Routes":[3],"Services":[]})").has_value());
 }
 
+std::string with_tenants(const nlohmann::json& tenants) {
+  auto whole = nlohmann::json::parse(kConfiguration);
+  whole["Routes"][0]["Public"] = true;
+  whole["Tenants"] = tenants;
+  return whole.dump();
+}
+
+TEST(ControlRequestsTest, TenantsComeWithDigestsInPlaceOfKeys) {
+  const auto table = put(with_tenants(nlohmann::json::parse(
+      R"([{"Name":"zeta","ApiKeys":["secret-1","secret-2"],"Priority":1,"RatePerS":208,"Burst":100},
+          {"Name":"alpha","ApiKeys":[],"Priority":0}])")));
+  ASSERT_TRUE(table.has_value());
+  EXPECT_TRUE(table.value().table.routes[0].is_public);
+  ASSERT_TRUE(table.value().table.tenants.has_value());
+  const protocol::Tenants& tenants = *table.value().table.tenants;
+  ASSERT_EQ(tenants.size(), 2U);
+  EXPECT_EQ(tenants[0].name, core::TenantName("alpha")) << "in order of names";
+  EXPECT_FALSE(tenants[0].quota.has_value());
+  EXPECT_EQ(tenants[1].quota, (protocol::TenantQuota{208, 100}));
+  EXPECT_EQ(tenants[1].keys[1], tenancy::digest_of("secret-2"));
+}
+
+TEST(ControlRequestsTest, TenantsThatCannotBeReadAreRefusedAndNoErrorShowsAKey) {
+  for (const char* bad : {R"(5)", R"("none")", R"([3])", R"([{"ApiKeys":["secret-1"]}])",
+                          R"([{"Name":"a","ApiKeys":"secret-1"}])", R"([{"Name":"a","ApiKeys":["secret-1",""]}])",
+                          R"([{"Name":"a","ApiKeys":["secret-1",5]}])",
+                          R"([{"Name":"a","ApiKeys":["secret-1"],"RatePerS":-1}])"}) {
+    const auto refused = put(with_tenants(nlohmann::json::parse(bad)));
+    ASSERT_FALSE(refused.has_value()) << bad;
+    EXPECT_EQ(core::describe(refused.error()).find("secret"), std::string::npos) << bad;
+  }
+}
+
 TEST(ControlRequestsTest, AnswersAreThoseOfThePlatform) {
   const auto call = translate_request(post("/Config.Put", kConfiguration));
   EXPECT_EQ(call->answer({200, "{}"}).status, 200U);
--- a/tests/platform/line_codec_test.cpp
+++ b/tests/platform/line_codec_test.cpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <variant>
 
+#include "tenancy/key_digest.hpp"
+
 namespace pipitpond::platform {
 namespace {
 
@@ -30,11 +32,19 @@
   const CallerMessage message = parse_caller_line("START lepu270 u3f1");
   ASSERT_TRUE(std::holds_alternative<StartMessage>(message));
   EXPECT_EQ(std::get<StartMessage>(message).database, "lepu270");
+  EXPECT_EQ(std::get<StartMessage>(message).key, tenancy::digest_of("u3f1"));
   EXPECT_TRUE(is_bad("START lepu270"));
   EXPECT_TRUE(is_bad("START"));
   EXPECT_TRUE(std::holds_alternative<ByeMessage>(parse_caller_line("BYE")));
 }
 
+TEST(DatabaseLineTest, AConnectionNamesItsTenantOrThisProxy) {
+  pooling::BackendAddress address{{"127.0.0.1", 1}, core::GroupName("g"), core::DatabaseId("a")};
+  EXPECT_EQ(format_start(address), "START g pipitpond a\r\n");
+  address.tenant = core::TenantName("miny420");
+  EXPECT_EQ(format_start(address), "START g miny420 a\r\n");
+}
+
 TEST(CallerLineTest, EachTextIsUnderstood) {
   EXPECT_EQ(parsed("QUERY q1 BEGIN").kind, StatementKind::kBegin);
   EXPECT_EQ(parsed("QUERY q1 BEGIN READ").kind, StatementKind::kBeginReadOnly);
--- a/tests/pooling/backend_pool_test.cpp
+++ b/tests/pooling/backend_pool_test.cpp
@@ -19,7 +19,16 @@
   }
 
   static ConnectionRequest request(int wait_millis = 500, std::uint32_t priority = 1) {
-    return ConnectionRequest{priority, core::BootClock::now() + milliseconds(wait_millis), nullptr};
+    ConnectionRequest made;
+    made.priority = priority;
+    made.deadline = core::BootClock::now() + milliseconds(wait_millis);
+    return made;
+  }
+
+  static ConnectionRequest request_of(const std::string& tenant, int wait_millis = 500) {
+    ConnectionRequest made = request(wait_millis);
+    made.tenant = core::TenantName(tenant);
+    return made;
   }
 
   core::Result<ConnectionLease> acquire(ConnectionRequest asked = request()) {
@@ -166,6 +175,59 @@
   EXPECT_LT(core::BootClock::now() - before, milliseconds(2000));
 }
 
+// --- Tenants
+
+TEST_F(BackendPoolTest, AConnectionServesTheTenantForWhichItWasOpened) {
+  { const auto lease = acquire(request_of("t1")); }
+  { const auto lease = acquire(request_of("t1")); }
+  EXPECT_EQ(connector_.opened_for, (std::vector<std::string>{"t1"}));
+  { const auto lease = acquire(request_of("t2")); }
+  EXPECT_EQ(connector_.opened_for, (std::vector<std::string>{"t1", "t2"}));
+  { const auto lease = acquire(request_of("t1")); }
+  EXPECT_EQ(connector_.database("a").connections_opened, 2);
+}
+
+TEST_F(BackendPoolTest, AnotherTenantsIdleConnectionMakesRoom) {
+  { const auto lease = acquire(request_of("t1")); }
+  { const auto lease = acquire(request_of("t2")); }
+  ASSERT_EQ(pool_->held(), 2U);
+  EXPECT_TRUE(acquire(request_of("t3")).has_value());
+  EXPECT_EQ(pool_->held(), 2U);
+  EXPECT_EQ(pool_->counters().made_room, 1U);
+  { const auto lease = acquire(request_of("t2")); }
+  EXPECT_EQ(connector_.opened_for, (std::vector<std::string>{"t1", "t2", "t3"})) << "the oldest one went";
+}
+
+TEST_F(BackendPoolTest, ATenantsQueueKeepsNoIdleConnectionFromAnother) {
+  // t1 waits for its one connection that is in use; t2 has an idle one.
+  pool_->set_share(ConnectionShare{2, 2, std::chrono::hours(1), 4, 4});
+  auto first = acquire(request_of("t1"));
+  { const auto lease = acquire(request_of("t2")); }
+  auto second = acquire(request_of("t2"));
+  const auto waits = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request_of("t1")));
+  pipitpond::testing::run_until(io_, [this] { return pool_->waiting() == 1; });
+  { const ConnectionLease given_back = std::move(second.value()); }
+  pipitpond::testing::run_until(io_, [&] { return waits->done(); });
+  EXPECT_TRUE(waits->value->has_value()) << "the idle connection of t2 made room";
+}
+
+TEST_F(BackendPoolTest, StatementsOfManyTenantsNeverMeetOnOneConnection) {
+  std::vector<std::shared_ptr<pipitpond::testing::Pending<core::Result<ConnectionLease>>>> pending;
+  for (int round = 0; round < 40; ++round) {
+    const std::string tenant = "t" + std::to_string(round * 7 % 5);
+    auto lease = acquire(request_of(tenant, 2000));
+    ASSERT_TRUE(lease.has_value());
+    Statement read;
+    read.id = core::RequestId(tenant);
+    BackendStatement asked{read, {}};
+    ASSERT_TRUE(pipitpond::testing::run(io_, lease.value().run(SessionState{}, asked, milliseconds(500))));
+  }
+  for (const RanStatement& ran : connector_.database("a").ran) {
+    EXPECT_EQ(ran.request, ran.tenant);
+  }
+  EXPECT_LE(pool_->held(), 2U);
+}
+
 TEST_F(BackendPoolTest, AClosedPoolGivesNothing) {
   pool_->close();
   const auto lease = acquire();
--- a/tests/pooling/caller_session_test.cpp
+++ b/tests/pooling/caller_session_test.cpp
@@ -15,7 +15,8 @@
   CallerSessionTest()
       : connector_(io_),
         backends_(io_, connector_, agent_, core::DaemonId("d"), core::ZoneName("zone-b")),
-        services_{io_, backends_, routes_, counters_, times_, {}} {
+        access_(io_, agent_, core::DaemonId("d"), core::ZoneName("zone-b"), AccessOptions{}),
+        services_{io_, backends_, routes_, access_, counters_, times_, {}} {
     connector_.database("a").primary = true;
     agent_.set_configuration(example_configuration());
     apply();
@@ -23,6 +24,7 @@
 
   void apply() {
     routes_.apply(agent_.configuration().routes);
+    access_.apply(core::BootClock::now(), agent_.configuration());
     backends_.apply(agent_.configuration());
   }
 
@@ -65,6 +67,7 @@
   FakeAgent agent_;
   Backends backends_;
   Routes routes_;
+  CallerAccess access_;
   PoolingCounters counters_;
   StatementTimes times_;
   SessionServices services_;
--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -14,6 +15,7 @@
 #include "pooling/backend.hpp"
 #include "pooling/waiting.hpp"
 #include "protocol/configuration.hpp"
+#include "tenancy/key_digest.hpp"
 
 namespace pipitpond::pooling {
 
@@ -26,6 +28,7 @@
   std::map<std::string, std::string> values;
   std::optional<core::LogPosition> after;
   int connection = 0;
+  std::string tenant;  ///< Of the connection.
 };
 
 /// A database and its faults.
@@ -47,8 +50,12 @@
 /// A connection to a fake database.
 class FakeConnection : public BackendConnection {
  public:
-  FakeConnection(boost::asio::io_context& io, FakeDatabase& database, int number)
-      : io_(io), database_(database), open_connections_(database.open_connections), number_(number) {
+  FakeConnection(boost::asio::io_context& io, FakeDatabase& database, int number, std::string tenant)
+      : io_(io),
+        database_(database),
+        open_connections_(database.open_connections),
+        number_(number),
+        tenant_(std::move(tenant)) {
     ++*open_connections_;
   }
   ~FakeConnection() override { --*open_connections_; }
@@ -115,7 +122,7 @@
     }
     take(statement);
     database_.ran.push_back(RanStatement{statement.id.value(), statement.kind, statement.name,
-                                         statement.arguments, values_, sent.after, number_});
+                                         statement.arguments, values_, sent.after, number_, tenant_});
     reply.state = in_transaction_ ? TransactionState::kOpen : TransactionState::kIdle;
     reply.signature = own ? "" : "signed";
     reply.position = database_.position;
@@ -150,6 +157,7 @@
   FakeDatabase& database_;
   std::shared_ptr<int> open_connections_;
   int number_ = 0;
+  std::string tenant_;
   bool open_ = true;
   bool in_transaction_ = false;
   std::map<std::string, std::string> values_;
@@ -169,11 +177,14 @@
     if (*found.open_connections >= found.max_connections) {
       co_return core::fail(core::ErrorKind::kOverloaded, "Too many connections.", "Try again.");
     }
-    co_return std::make_unique<FakeConnection>(io_, found, ++found.connections_opened);
+    opened_for.push_back(address.tenant.value());
+    co_return std::make_unique<FakeConnection>(io_, found, ++found.connections_opened, address.tenant.value());
   }
 
   FakeDatabase& database(const std::string& id) { return databases_[id]; }
 
+  std::vector<std::string> opened_for;  ///< Tenants of the connections, in order.
+
  private:
   boost::asio::io_context& io_;
   std::map<std::string, FakeDatabase> databases_;
@@ -189,6 +200,9 @@
   [[nodiscard]] const protocol::Configuration& configuration() const override { return configuration_; }
   void on_change(agent::ChangeCallback) override {}
   [[nodiscard]] bool lease_valid(core::Instant) const override { return lease; }
+  [[nodiscard]] core::Instant complete_until() const override {
+    return complete.value_or(core::BootClock::now());
+  }
   [[nodiscard]] ownership::Budget allowed(const core::DatabaseId&) const override { return {}; }
   [[nodiscard]] const ownership::OwnerTable& owner_table() const override { return owners_; }
   void report_held(const core::DatabaseId&, std::uint32_t) override {}
@@ -206,6 +220,7 @@
   }
 
   bool lease = true;
+  std::optional<core::Instant> complete;  ///< Empty: always up to now.
   std::vector<protocol::SuspicionReport> suspicions;
 
  private:
@@ -224,6 +239,9 @@
   return made;
 }
 
+/// The example configuration with tenant "t1", which holds key "k1" and may run `quota`, and "t2" with "k2".
+protocol::Configuration configuration_with_tenants(std::optional<protocol::TenantQuota> quota = std::nullopt);
+
 /// A group "g" of the databases a (primary), b and c, routes "writes" (primary), "board" (bounded, 1,500 ms)
 /// and "own" (session, 2,500 ms), and one daemon "d".
 inline protocol::Configuration example_configuration() {
@@ -263,4 +281,18 @@
   return configuration;
 }
 
+inline protocol::Configuration configuration_with_tenants(std::optional<protocol::TenantQuota> quota) {
+  protocol::Configuration configuration = example_configuration();
+  configuration.routes.version = 2;
+  configuration.routes.tenants.emplace();
+  for (const char* number : {"1", "2"}) {
+    protocol::Tenant tenant;
+    tenant.name = core::TenantName(std::string("t") + number);
+    tenant.keys.push_back(tenancy::digest_of(std::string("k") + number));
+    tenant.quota = quota;
+    configuration.routes.tenants->push_back(tenant);
+  }
+  return configuration;
+}
+
 }  // namespace pipitpond::pooling
--- a/tests/pooling/statement_forward_test.cpp
+++ b/tests/pooling/statement_forward_test.cpp
@@ -18,11 +18,13 @@
   DaemonParts(boost::asio::io_context& io, const std::string& name, const std::string& zone)
       : connector(io),
         backends(io, connector, agent, core::DaemonId(name), core::ZoneName(zone)),
-        services{io, backends, routes, counters, times, {}} {}
+        access(io, agent, core::DaemonId(name), core::ZoneName(zone), AccessOptions{}),
+        services{io, backends, routes, access, counters, times, {}} {}
 
   void apply(const protocol::Configuration& configuration) {
     agent.set_configuration(configuration);
     routes.apply(configuration.routes);
+    access.apply(core::BootClock::now(), configuration);
     backends.apply(configuration);
   }
 
@@ -30,6 +32,7 @@
   FakeAgent agent;
   Backends backends;
   Routes routes;
+  CallerAccess access;
   PoolingCounters counters;
   StatementTimes times;
   SessionServices services;
@@ -38,7 +41,7 @@
 class StatementForwardTest : public ::testing::Test {
  protected:
   StatementForwardTest()
-      : owner_(io_, "owner", "zone-owner"), asking_(io_, "asking", "zone-asking"), service_(owner_.backends) {
+      : owner_(io_, "owner", "zone-owner"), asking_(io_, "asking", "zone-asking"), service_(owner_.backends, owner_.access) {
     auto server = wire::Server::start(
         io_, "127.0.0.1", 0,
         [this](wire::PeerId peer, wire::MessageType type, std::string body) {
--- a/tests/protocol/route_edit_test.cpp
+++ b/tests/protocol/route_edit_test.cpp
@@ -70,6 +70,54 @@
   EXPECT_GT(wire::pack(after).size(), 40'000U);
 }
 
+Tenant tenant(std::uint64_t number, std::uint64_t keys, std::uint32_t rate) {
+  Tenant tenant;
+  tenant.name = core::TenantName("tenant-" + std::to_string(100 + number));
+  for (std::uint64_t key = 0; key < keys; ++key) {
+    tenant.keys.push_back(KeyDigest{std::string(kKeyDigestBytes, static_cast<char>('a' + key))});
+  }
+  tenant.quota = TenantQuota{rate, rate};
+  return tenant;
+}
+
+TEST(RouteTableEdit, TurnsAnyTenantsIntoTheNext) {
+  constexpr int kTables = 1000;
+  std::mt19937_64 random(11);
+  RouteTable current = table(1, 3);
+  for (int round = 0; round < kTables; ++round) {
+    RouteTable next = current;
+    ++next.version;
+    next.tenants.reset();
+    if (random() % 8 != 0) {
+      next.tenants.emplace();
+      for (std::uint64_t number = 0; number < 6; ++number) {
+        if (random() % 2 == 0) {
+          next.tenants->push_back(tenant(number, random() % 3, static_cast<std::uint32_t>(random() % 3)));
+        }
+      }
+    }
+    const auto edit = wire::unpack<RouteTableEdit>(wire::pack(edit_between(current, next)));
+    ASSERT_TRUE(edit.has_value());
+    ASSERT_TRUE(apply(current, edit.value()));
+    ASSERT_EQ(current, next) << "round " << round;
+  }
+}
+
+TEST(RouteTableEdit, OfOneTenantCostsWhatChanged) {
+  RouteTable before = table(1, 3);
+  before.tenants.emplace();
+  for (std::uint64_t number = 0; number < 84; ++number) {
+    before.tenants->push_back(tenant(number, 2, 100));
+  }
+  RouteTable after = before;
+  after.version = 2;
+  after.tenants->at(40).quota->rate_per_s = 7;
+  EXPECT_LT(wire::pack(edit_between(before, after)).size(), 200U);
+  after.tenants->at(41).keys.pop_back();
+  EXPECT_LT(wire::pack(edit_between(before, after)).size(), 200U);
+  EXPECT_GT(wire::pack(after).size(), 4'000U);
+}
+
 TEST(RouteTableEdit, OfAnotherTableChangesNothing) {
   Configuration configuration;
   configuration.routes = table(3, 2);
--- a/tests/requests/example_agent.hpp
+++ b/tests/requests/example_agent.hpp
@@ -36,6 +36,7 @@
   boost::asio::awaitable<void> depart(core::Duration /*timeout*/) override { co_return; }
   [[nodiscard]] const protocol::Configuration& configuration() const override { return configuration_; }
   void on_change(agent::ChangeCallback callback) override { callbacks_.push_back(std::move(callback)); }
+  [[nodiscard]] core::Instant complete_until() const override { return core::BootClock::now(); }
   [[nodiscard]] bool lease_valid(core::Instant /*now*/) const override { return lease_; }
   [[nodiscard]] ownership::Budget allowed(const core::DatabaseId& database) const override {
     return ownership::budget(configuration_, database, self_);
--- /dev/null
+++ b/tests/tenancy/quota_model_test.cpp
@@ -0,0 +1,332 @@
+// Quotas of a fleet as its daemons keep them, played for thousands of histories with restarts, cuts from control,
+// freezes, departures, newcomers and changed limits, against an oracle of both promises.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "tenancy/quota_home.hpp"
+
+namespace pipitpond::tenancy {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStep{20};
+constexpr milliseconds kHeartbeat{500};
+/// Control removes a daemon that was silent for as long as this.
+constexpr milliseconds kRemoval{4800};
+constexpr int kZones = 3;
+
+const core::TenantName kTenant("t");
+
+/// What control has acknowledged.
+struct Control {
+  protocol::Configuration configuration;
+  TenantDirectory directory;
+
+  void put_quota(protocol::TenantQuota quota) {
+    protocol::Tenant tenant;
+    tenant.name = kTenant;
+    tenant.quota = quota;
+    configuration.routes.tenants = protocol::Tenants{tenant};
+    ++configuration.routes.version;
+    ++configuration.revision;
+  }
+  void admit(const core::DaemonId& id, std::uint64_t incarnation, const core::ZoneName& zone) {
+    ++configuration.revision;
+    const auto known = configuration.daemons.find(id);
+    const bool in_place = known != configuration.daemons.end();
+    const protocol::Revision since = in_place ? known->second.live_since : configuration.revision;
+    protocol::Daemon daemon;
+    daemon.id = id;
+    daemon.incarnation = incarnation;
+    daemon.zone = zone;
+    daemon.revision = configuration.revision;
+    daemon.live_since = since;
+    configuration.daemons[id] = daemon;
+  }
+  void remove(const core::DaemonId& id) {
+    ++configuration.revision;
+    configuration.daemons.erase(id);
+  }
+};
+
+/// One daemon's view and buckets.
+struct Daemon {
+  core::DaemonId id;
+  core::ZoneName zone;
+  std::uint64_t incarnation = 1;
+  bool running = true;
+  bool cut_off = false;  ///< From control; other daemons reach it.
+  bool frozen = false;
+  core::Instant heard{};  ///< By control.
+  core::Instant next_heartbeat{};
+  core::Instant complete_until{};
+  protocol::Revision applied = 0;
+  TenantDirectory directory;
+  std::unique_ptr<QuotaHomes> homes;
+  std::unique_ptr<QuotaHome> home;
+
+  void start() {
+    homes = std::make_unique<QuotaHomes>(zone);
+    home = std::make_unique<QuotaHome>(id, QuotaLimits{});
+    directory = TenantDirectory();
+    complete_until = {};
+    applied = 0;
+    running = true;
+    frozen = false;
+  }
+  void apply(core::Instant now, const protocol::Configuration& configuration) {
+    applied = configuration.revision;
+    directory.apply(configuration.routes);
+    homes->apply(configuration);
+    const auto self = configuration.daemons.find(id);
+    home->apply(now, directory, *homes, self == configuration.daemons.end() ? nullptr : &self->second);
+  }
+};
+
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, int daemons, protocol::TenantQuota quota) : random_(seed), quota_(quota) {
+    control_.put_quota(quota);
+    for (int number = 0; number < daemons; ++number) {
+      Daemon daemon;
+      daemon.id = core::DaemonId("d" + std::to_string(number));
+      daemon.zone = core::ZoneName("z" + std::to_string(number % kZones));
+      daemon.next_heartbeat = now_ + milliseconds(random_() % kHeartbeat.count());
+      daemon.start();
+      daemons_.push_back(std::move(daemon));
+    }
+  }
+
+  void step(double operations_per_s, bool faults) {
+    now_ += kStep;
+    if (faults) {
+      disturb();
+    }
+    for (Daemon& daemon : daemons_) {
+      talk_to_control(daemon);
+    }
+    drop_silent();
+    due_ += operations_per_s * std::chrono::duration<double>(kStep).count();
+    while (due_ >= 1) {
+      due_ -= 1;
+      ask_for_one();
+    }
+    judge();
+  }
+
+  void set_quota(protocol::TenantQuota quota) {
+    quota_ = quota;
+    control_.put_quota(quota);
+  }
+  /// Callers come to this daemon alone; nothing: to any.
+  void send_all_to(std::optional<std::size_t> daemon) { only_ = daemon; }
+
+  void kill(std::size_t daemon) { daemons_[daemon].running = false; }
+
+  [[nodiscard]] double most_in_window() const { return most_in_window_; }
+  [[nodiscard]] int refused_rightfully() const { return refused_rightfully_; }
+  [[nodiscard]] int refused_wrongly() const { return refused_wrongly_; }
+  [[nodiscard]] int ran() const { return ran_; }
+
+ private:
+  Daemon& any() { return daemons_[random_() % daemons_.size()]; }
+
+  void disturb() {
+    if (random_() % 25 != 0) {
+      return;
+    }
+    Daemon& daemon = any();
+    switch (random_() % 5) {
+      case 0:
+        daemon.cut_off = !daemon.cut_off;
+        break;
+      case 1:
+        daemon.frozen = !daemon.frozen;
+        break;
+      case 2:  // Killed, or back.
+        if (daemon.running) {
+          daemon.running = false;
+        } else {
+          ++daemon.incarnation;
+          daemon.start();
+        }
+        break;
+      case 3:  // A planned stop.
+        if (daemon.running && !daemon.cut_off && !daemon.frozen) {
+          daemon.home->stop();
+          daemon.running = false;
+          control_.remove(daemon.id);
+        }
+        break;
+      default:
+        for (Daemon& one : daemons_) {
+          one.cut_off = one.frozen = false;
+        }
+    }
+  }
+
+  void talk_to_control(Daemon& daemon) {
+    const bool talks = daemon.running && !daemon.cut_off && !daemon.frozen && now_ >= daemon.next_heartbeat;
+    if (!talks) {
+      return;
+    }
+    daemon.next_heartbeat = now_ + kHeartbeat;
+    daemon.heard = now_;
+    const auto known = control_.configuration.daemons.find(daemon.id);
+    const bool admitted =
+        known != control_.configuration.daemons.end() && known->second.incarnation == daemon.incarnation;
+    if (!admitted) {
+      control_.admit(daemon.id, daemon.incarnation, daemon.zone);
+    }
+    daemon.apply(now_, control_.configuration);
+    daemon.complete_until = now_;
+    // Changes are pushed; those that are in touch have them with the next step.
+    for (Daemon& other : daemons_) {
+      const bool in_touch = other.running && !other.cut_off && !other.frozen;
+      if (in_touch && other.applied < control_.configuration.revision) {
+        other.apply(now_, control_.configuration);
+      }
+    }
+  }
+
+  void drop_silent() {
+    for (Daemon& daemon : daemons_) {
+      const bool listed = control_.configuration.daemons.contains(daemon.id);
+      if (listed && now_ - daemon.heard >= kRemoval) {
+        control_.remove(daemon.id);
+      }
+    }
+  }
+
+  void ask_for_one() {
+    Daemon& asking = only_ ? daemons_[*only_] : any();
+    refill_reference();
+    const bool rightful = reference_ >= 1;
+    reference_ -= rightful ? 1 : 0;
+    if (!asking.running || asking.frozen || asking.applied == 0) {
+      return;
+    }
+    for (const core::DaemonId& id : asking.homes->of(kTenant)) {
+      Daemon& home = *std::find_if(daemons_.begin(), daemons_.end(),
+                                   [&](const Daemon& daemon) { return daemon.id == id; });
+      if (!home.running || home.frozen) {
+        continue;
+      }
+      if (home.home->take(now_, kTenant, home.complete_until).granted) {
+        ran_at_.push_back(now_);
+        ++ran_;
+        return;
+      }
+    }
+    ++(rightful ? refused_wrongly_ : refused_rightfully_);
+  }
+
+  /// What one bucket for all would grant.
+  void refill_reference() {
+    const double seconds = std::chrono::duration<double>(now_ - reference_filled_).count();
+    reference_ = std::min<double>(quota_.burst, reference_ + seconds * quota_.rate_per_s);
+    reference_filled_ = now_;
+  }
+
+  void judge() {
+    const QuotaLimits limits;
+    while (!ran_at_.empty() && now_ - ran_at_.front() >= limits.window) {
+      ran_at_.pop_front();
+    }
+    most_in_window_ = std::max(most_in_window_, static_cast<double>(ran_at_.size()));
+  }
+
+  std::mt19937_64 random_;
+  protocol::TenantQuota quota_;
+  Control control_;
+  std::vector<Daemon> daemons_;
+  core::Instant now_{std::chrono::hours(1)};
+  std::optional<std::size_t> only_;
+  double due_ = 0;
+  double reference_ = 0;
+  core::Instant reference_filled_{std::chrono::hours(1)};
+  std::deque<core::Instant> ran_at_;
+  double most_in_window_ = 0;
+  int ran_ = 0;
+  int refused_rightfully_ = 0;
+  int refused_wrongly_ = 0;
+};
+
+double permitted(protocol::TenantQuota quota) {
+  const QuotaLimits limits;
+  const double seconds = std::chrono::duration<double>(limits.window).count();
+  return (quota.rate_per_s * seconds + quota.burst) * (1 + limits.excess) + limits.slack;
+}
+
+void play(Fleet& fleet, double operations_per_s, std::chrono::seconds duration, bool faults) {
+  for (auto played = milliseconds(0); played < duration; played += kStep) {
+    fleet.step(operations_per_s, faults);
+  }
+}
+
+constexpr protocol::TenantQuota kLarge{200, 200};
+constexpr protocol::TenantQuota kSmall{5, 5};
+
+TEST(QuotaModel, NoHistoryOfFaultsLetsMoreRunThanIsPermitted) {
+  constexpr std::uint64_t kHistories = 1500;
+  for (std::uint64_t seed = 1; seed <= kHistories; ++seed) {
+    const protocol::TenantQuota quota = seed % 2 == 0 ? kLarge : kSmall;
+    Fleet fleet(seed, 9, quota);
+    play(fleet, 0, std::chrono::seconds(4), false);
+    play(fleet, 3.0 * quota.rate_per_s, std::chrono::seconds(20), true);
+    ASSERT_LE(fleet.most_in_window(), permitted(quota)) << "seed " << seed;
+  }
+}
+
+TEST(QuotaModel, WithoutFaultsNothingBelowTheQuotaIsRefused) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    const protocol::TenantQuota quota = seed % 2 == 0 ? kLarge : kSmall;
+    Fleet fleet(seed, seed % 3 == 0 ? 79 : 9, quota);
+    play(fleet, 0, std::chrono::seconds(8), false);
+    if (seed % 4 == 0) {
+      fleet.send_all_to(3);
+    }
+    play(fleet, 0.8 * quota.rate_per_s, std::chrono::seconds(20), false);
+    const int asked = fleet.ran() + fleet.refused_wrongly();
+    EXPECT_LE(fleet.refused_wrongly(), asked / 200) << "seed " << seed;
+  }
+}
+
+TEST(QuotaModel, AFloodGetsWhatTheQuotaAllowsAndNotLess) {
+  Fleet fleet(7, 9, kLarge);
+  play(fleet, 0, std::chrono::seconds(8), false);
+  play(fleet, 1000, std::chrono::seconds(20), false);
+  EXPECT_GE(fleet.ran(), 20 * 200);
+  EXPECT_LE(fleet.most_in_window(), permitted(kLarge));
+}
+
+TEST(QuotaModel, ALoweredQuotaBindsWithinAWindow) {
+  Fleet fleet(11, 9, kLarge);
+  play(fleet, 0, std::chrono::seconds(8), false);
+  play(fleet, 400, std::chrono::seconds(5), false);
+  fleet.set_quota(kSmall);
+  play(fleet, 400, std::chrono::seconds(6), false);
+  const int before = fleet.ran();
+  play(fleet, 400, std::chrono::seconds(5), false);
+  EXPECT_LE(fleet.ran() - before, permitted(kSmall));
+}
+
+TEST(QuotaModel, WhileOneOfThreeHomesIsLostTwoThirdsOfTheQuotaRemain) {
+  Fleet fleet(13, 3, kLarge);
+  play(fleet, 0, std::chrono::seconds(8), false);
+  fleet.send_all_to(0);
+  fleet.kill(1);
+  play(fleet, 0.6 * kLarge.rate_per_s, std::chrono::seconds(5), false);
+  EXPECT_EQ(fleet.refused_wrongly(), 0);
+}
+
+}  // namespace
+}  // namespace pipitpond::tenancy
