Let a home that starts again in its place give at once

Change: only this life's entry counts. Test first: QuotaHome.ADaemonThatStartsAgainInItsPlaceGivesAtOnce.

--- a/src/pooling/caller_access.cpp
+++ b/src/pooling/caller_access.cpp
@@ -27,9 +27,10 @@
     return;
   }
   asker_.apply(configuration);
-  if (new_table || new_daemons) {
+  if (new_table || new_daemons || !admitted_) {
     const auto self = configuration.daemons.find(self_);
-    home_.apply(now, directory_, homes_, self == configuration.daemons.end() ? nullptr : &self->second);
+    admitted_ = self != configuration.daemons.end() && self->second.incarnation == agent_.incarnation();
+    home_.apply(now, directory_, homes_, admitted_ ? &self->second : nullptr);
   }
 }
 
--- a/src/pooling/caller_access.hpp
+++ b/src/pooling/caller_access.hpp
@@ -70,6 +70,7 @@
   QuotaAsker asker_;
   TakeOwn take_own_;
   std::uint64_t table_version_ = 0;
+  bool admitted_ = false;  ///< This life of the daemon, as last seen.
   AccessCounters counters_;
 };
 
--- a/src/tenancy/quota_home.cpp
+++ b/src/tenancy/quota_home.cpp
@@ -9,11 +9,7 @@
 
 void QuotaHome::apply(core::Instant now, const TenantDirectory& directory, const QuotaHomes& homes,
                       const protocol::Daemon* self) {
-  const bool joined = self != nullptr && self->live_since != live_since_ && self->live_since == self->revision;
-  if (joined) {
-    rests_until_ = now + kHomeProofAge;
-  }
-  live_since_ = self == nullptr ? 0 : self->live_since;
+  note_own_entry(now, self);
   std::map<core::TenantName, QuotaBucket> next;
   for (const auto& [name, tenant] : directory.tenants()) {
     if (!tenant.quota) {
@@ -35,6 +31,18 @@
   buckets_ = std::move(next);
 }
 
+// Only where this life's admission made the daemon live, others may have been homes in its place before.
+void QuotaHome::note_own_entry(core::Instant now, const protocol::Daemon* self) {
+  if (self == nullptr) {
+    return;
+  }
+  const bool joined = self->live_since == self->revision && self->live_since != live_since_;
+  if (joined) {
+    rests_until_ = now + kHomeProofAge;
+  }
+  live_since_ = self->live_since;
+}
+
 BucketLimits QuotaHome::part_of(const protocol::TenantQuota& quota, std::size_t homes) const {
   const auto count = static_cast<double>(homes);
   return BucketLimits{quota.rate_per_s / count, std::max(quota.burst / count, 1.0)};
--- a/src/tenancy/quota_home.hpp
+++ b/src/tenancy/quota_home.hpp
@@ -52,7 +52,8 @@
  public:
   QuotaHome(core::DaemonId self, QuotaLimits limits);
 
-  /// The tenants or the live daemons have changed. `self`: this daemon's entry; null when it has none.
+  /// The tenants or the live daemons have changed. `self`: the entry of this life of the daemon; null while there
+  /// is none. That of an earlier life tells nothing: whoever was home then was this daemon itself.
   void apply(core::Instant now, const TenantDirectory& directory, const QuotaHomes& homes,
              const protocol::Daemon* self);
   /// This daemon leaves: others become the homes.
@@ -67,6 +68,8 @@
   [[nodiscard]] BucketLimits part_of(const protocol::TenantQuota& quota, std::size_t homes) const;
   [[nodiscard]] double first_tokens(const protocol::TenantQuota& quota, std::size_t homes) const;
 
+  void note_own_entry(core::Instant now, const protocol::Daemon* self);
+
   core::DaemonId self_;
   QuotaLimits limits_;
   bool stopped_ = false;
--- a/tests/pooling/caller_access_test.cpp
+++ b/tests/pooling/caller_access_test.cpp
@@ -179,6 +179,7 @@
 TEST_F(CallerAccessTest, ADaemonThatJustJoinedGivesNothingAsAHome) {
   protocol::Configuration configuration = configuration_with_tenants(protocol::TenantQuota{100, 100});
   configuration.routes.version = 3;
+  configuration.daemons.begin()->second.incarnation = 1;
   configuration.daemons.begin()->second.live_since = 4;
   configuration.daemons.begin()->second.revision = 4;
   apply(configuration);
--- a/tests/tenancy/quota_model_test.cpp
+++ b/tests/tenancy/quota_model_test.cpp
@@ -87,7 +87,8 @@
     directory.apply(configuration.routes);
     homes->apply(configuration);
     const auto self = configuration.daemons.find(id);
-    home->apply(now, directory, *homes, self == configuration.daemons.end() ? nullptr : &self->second);
+    const bool admitted = self != configuration.daemons.end() && self->second.incarnation == incarnation;
+    home->apply(now, directory, *homes, admitted ? &self->second : nullptr);
   }
 };
 
@@ -319,6 +320,24 @@
   EXPECT_LE(fleet.ran() - before, permitted(kSmall));
 }
 
+TEST(QuotaHome, ADaemonThatStartsAgainInItsPlaceGivesAtOnce) {
+  // Its entry is that of its earlier life, which joined; seen as its own it gave nothing for 3 s after a loss of all
+  // power.
+  Control control;
+  control.put_quota(kLarge);
+  control.admit(core::DaemonId("d"), 1, core::ZoneName("z"));
+  Daemon daemon;
+  daemon.id = core::DaemonId("d");
+  daemon.zone = core::ZoneName("z");
+  daemon.incarnation = 2;
+  daemon.start();
+  const core::Instant now{std::chrono::hours(1)};
+  daemon.apply(now, control.configuration);
+  control.admit(core::DaemonId("d"), 2, core::ZoneName("z"));
+  daemon.apply(now, control.configuration);
+  EXPECT_TRUE(daemon.home->take(now, kTenant, now).granted);
+}
+
 TEST(QuotaModel, WhileOneOfThreeHomesIsLostTwoThirdsOfTheQuotaRemain) {
   Fleet fleet(13, 3, kLarge);
   play(fleet, 0, std::chrono::seconds(8), false);
