--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -167,7 +167,8 @@
 }
 
 // A leader answers with a revision only once it has applied all that earlier leaders committed, and while a
-// majority stands by it: all that any leader acknowledged before the question was sent is part of that revision.
+// majority stands by it: all that any leader acknowledged before the question was sent is part of that
+// revision.
 void Session::note_leaders_revision(core::Instant sent_at, protocol::Revision revision) {
   awaited_revisions_.emplace_back(revision, sent_at);
   if (awaited_revisions_.size() > kMostAwaitedRevisions) {
--- a/src/configuration/plan.cpp
+++ b/src/configuration/plan.cpp
@@ -148,8 +148,8 @@
                    "Stop the older process, or give each daemon its own node.id.", current->revision);
   }
   Change change = next_change(context.configuration);
-  Daemon daemon{admit.id,       admit.incarnation, admit.zone,
-                admit.internal, admit.callers,     protocol::DaemonState::kLive,
+  Daemon daemon{admit.id,        admit.incarnation, admit.zone,
+                admit.internal,  admit.callers,     protocol::DaemonState::kLive,
                 change.revision, change.revision};
   if (current != nullptr && current->state == protocol::DaemonState::kLive) {
     daemon.live_since = current->live_since;
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -325,9 +325,10 @@
   return database_reply();
 }
 
-/// Tells where the next notices are best sent: here. Most tell nothing new, which any replica can say, so that
-/// they spread over all replicas by themselves as databases move on from one that failed. Sent to the leader they
-/// took all of its processor's share: at 300 machines it answered none in time, and each was sent again elsewhere.
+/// Tells where the next notices are best sent: here. Most tell nothing new, which any replica can say, so
+/// that they spread over all replicas by themselves as databases move on from one that failed. Sent to the
+/// leader they took all of its processor's share: at 300 machines it answered none in time, and each was sent
+/// again elsewhere.
 OperatorReply OperatorApi::database_reply() const {
   json body = json::object();
   const raft::Node& node = replica_.node();
--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -412,9 +412,8 @@
 std::shared_ptr<PoolWaiter> BackendPool::take_next_waiter() {
   const core::Instant answered = core::BootClock::now() + usual_latency_;
   const auto servable = [this](const auto& waiter) { return has_idle_for(waiter->tenant); };
-  auto next = std::find_if(waiters_.begin(), waiters_.end(), [&](const auto& waiter) {
-    return answered <= waiter->goal && servable(waiter);
-  });
+  auto next = std::find_if(waiters_.begin(), waiters_.end(),
+                           [&](const auto& waiter) { return answered <= waiter->goal && servable(waiter); });
   if (next == waiters_.end()) {
     next = std::find_if(waiters_.begin(), waiters_.end(), servable);
   }
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -82,8 +82,8 @@
   const SessionState* session = nullptr;  ///< Connections that have its values are preferred.
   /// After this moment an answer is late. Who is late anyway lets those go first who can still be in time.
   core::Instant goal = core::Instant::max();
-  /// Whose connection it must be; nothing: anybody's. Databases take a connection's tenant for that of all its
-  /// statements.
+  /// Whose connection it must be; nothing: anybody's. Databases take a connection's tenant for that of all
+  /// its statements.
   std::optional<core::TenantName> tenant{};
 };
 
@@ -164,8 +164,8 @@
   [[nodiscard]] std::shared_ptr<PoolWaiter> next_without_opening() const;
   /// False when all connections that may be held are in use.
   bool make_room();
-  /// The idle connection whose tenant asks least for each that it holds; of those that are alike, the one used
-  /// least lately. There must be one.
+  /// The idle connection whose tenant asks least for each that it holds; of those that are alike, the one
+  /// used least lately. There must be one.
   [[nodiscard]] std::deque<std::unique_ptr<PooledConnection>>::iterator least_wanted_idle();
   void open_when_needed();
   void open_ahead(core::Instant now);
--- a/src/pooling/caller_access.cpp
+++ b/src/pooling/caller_access.cpp
@@ -35,8 +35,7 @@
 }
 
 bool CallerAccess::keys_are_certain(core::Instant now) const {
-  return !directory_.keys_needed() ||
-         tenancy::keys_are_certain(options_.keys, agent_.complete_until(), now);
+  return !directory_.keys_needed() || tenancy::keys_are_certain(options_.keys, agent_.complete_until(), now);
 }
 
 tenancy::Access CallerAccess::judge(const protocol::Route& route, const protocol::KeyDigest& key,
--- a/src/pooling/caller_session.hpp
+++ b/src/pooling/caller_session.hpp
@@ -108,7 +108,8 @@
   /// Judges the caller's key, and takes an operation of its tenant's quota. A refusal: nothing else is to be
   /// done.
   boost::asio::awaitable<std::optional<StatementReply>> refuse_or_admit(Search& search);
-  /// The refusal of a key that may not ask now; nothing: it may, for the tenant that the search was begun for.
+  /// The refusal of a key that may not ask now; nothing: it may, for the tenant that the search was begun
+  /// for.
   std::optional<StatementReply> refuse_key(Search& search) const;
   std::optional<StatementReply> refuse_key_in_transaction(const Statement& statement);
   boost::asio::awaitable<StatementReply> search_until_answered(Search& search);
--- a/src/pooling/caller_session_access.cpp
+++ b/src/pooling/caller_session_access.cpp
@@ -27,9 +27,10 @@
 
 void log_refusal(const Statement& statement, const core::TenantName& tenant, const std::string& reason,
                  core::Duration proof_age, core::Duration retry_in) {
-  logging::logger("access")->info("event=refused request={} tenant={} reason={} proof_age_ms={} retry_in_ms={}",
-                                  logging::field(statement.id.value()), logging::field(tenant.value()), reason,
-                                  core::to_millis(proof_age), core::to_millis(retry_in));
+  logging::logger("access")->info(
+      "event=refused request={} tenant={} reason={} proof_age_ms={} retry_in_ms={}",
+      logging::field(statement.id.value()), logging::field(tenant.value()), reason,
+      core::to_millis(proof_age), core::to_millis(retry_in));
 }
 
 }  // namespace
@@ -64,23 +65,22 @@
   services_.access.count(answer);
   const bool over = answer.outcome == QuotaOutcome::kOverQuota;
   const char* reason = over ? "over_quota" : "quota_not_told";
-  const std::string text =
-      come_back_in(answer.retry_in, over ? "the tenant has used up its quota" : "no home of the quota answers");
+  const std::string text = come_back_in(
+      answer.retry_in, over ? "the tenant has used up its quota" : "no home of the quota answers");
   log_refusal(search.statement, search.access.tenant, reason,
               services_.access.proof_age(core::BootClock::now()), answer.retry_in);
   co_return failed_reply(over ? FailureCode::kOverQuota : FailureCode::kBusy, text, TransactionState::kIdle);
 }
 
-/// A transaction whose key went, or came to another tenant, ends: its connection belongs to the tenant for which
-/// it was begun. Its rollback is always carried out.
+/// A transaction whose key went, or came to another tenant, ends: its connection belongs to the tenant for
+/// which it was begun. Its rollback is always carried out.
 std::optional<StatementReply> CallerSession::refuse_key_in_transaction(const Statement& statement) {
   if (statement.kind == StatementKind::kRollback) {
     return std::nullopt;
   }
   const core::Instant now = core::BootClock::now();
   const tenancy::Access access = services_.access.judge(transaction_->route, key_, now);
-  const bool allowed =
-      access.verdict == tenancy::Verdict::kAllowed && access.tenant == transaction_->tenant;
+  const bool allowed = access.verdict == tenancy::Verdict::kAllowed && access.tenant == transaction_->tenant;
   if (allowed) {
     return std::nullopt;
   }
--- a/src/pooling/connection_share.hpp
+++ b/src/pooling/connection_share.hpp
@@ -19,7 +19,8 @@
 struct ConnectionShare {
   std::uint32_t kept = 0;  ///< May stay open while idle.
   std::uint32_t most = 0;  ///< May be held at once; those beyond `kept` are closed soon after their use.
-  /// Between connections that are opened ahead of demand: the database's slots are for statements. Zero: none is.
+  /// Between connections that are opened ahead of demand: the database's slots are for statements. Zero: none
+  /// is.
   core::Duration warm_up_interval{};
   /// Statements outside transactions that this daemon lets the database run at once: at first, and at most.
   std::uint32_t first_concurrency = 1;
@@ -44,10 +45,10 @@
   bool primary = false;  ///< The database leads its group: callers of all zones need it.
 };
 
-/// The share where connections belong to tenants, so that each one held counts. Reads stay in the zone of a replica,
-/// so that its near owners serve nearly all of them: they get three times the part of the others. A primary's
-/// statements come from all zones, to fewer owners in each of the others: those get twice the part of the near ones.
-/// Equal parts left half of a replica's 53 connections where nobody asked.
+/// The share where connections belong to tenants, so that each one held counts. Reads stay in the zone of a
+/// replica, so that its near owners serve nearly all of them: they get three times the part of the others. A
+/// primary's statements come from all zones, to fewer owners in each of the others: those get twice the part
+/// of the near ones. Equal parts left half of a replica's 53 connections where nobody asked.
 ConnectionShare tenants_share_of(const DatabaseCapacity& capacity, const OwnerPlace& place);
 
 }  // namespace pipitpond::pooling
--- a/src/pooling/daemon.cpp
+++ b/src/pooling/daemon.cpp
@@ -139,7 +139,7 @@
 }
 
 core::Result<std::unique_ptr<CallerSession>> Daemon::open_session(const std::string& database,
-                                                                 const protocol::KeyDigest& key) {
+                                                                  const protocol::KeyDigest& key) {
   if (routes_.version() == 0) {
     return core::fail(core::ErrorKind::kUnavailable, "No routes have been received from control yet.",
                       "Try again in a second.", 1000);
@@ -172,9 +172,9 @@
     response.content_type = "text/plain";
   } else if (request.path == "/metrics") {
     response.content_type = metrics::kContentType;
-    response.body =
-        metrics_page(counters_, backends_, *agent_, listener_->sessions(), not_ready_reason().empty()) +
-        times_.text();
+    response.body = metrics_page(counters_, backends_, access_, *agent_, listener_->sessions(),
+                                 not_ready_reason().empty()) +
+                    times_.text();
   } else {
     response.status = 404;
     response.body = "There is " + options_.ready_path + " and /metrics.";
--- a/src/pooling/forward_service.cpp
+++ b/src/pooling/forward_service.cpp
@@ -46,7 +46,8 @@
   return std::chrono::milliseconds(millis);
 }
 
-/// `asked` outlives the request. Not part of a coroutine: GCC 12 destroys a temporary of such an initializer twice.
+/// `asked` outlives the request. Not part of a coroutine: GCC 12 destroys a temporary of such an initializer
+/// twice.
 ConnectionRequest connection_request(const ForwardedStatement& asked, core::Instant begun) {
   ConnectionRequest request;
   request.priority = asked.priority;
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -55,6 +55,7 @@
     registry.counter("pipitpond_pooling_backend_" + name, help, labels).increment(number(value));
   };
   counter("opened_total", "Connections opened.", pool.counters().opened);
+  counter("made_room_total", "Idle connections closed for another tenant's.", pool.counters().made_room);
   counter("open_failed_total", "Connections that could not be opened.", pool.counters().open_failed);
   counter("broke_total", "Batches that got no answer.", pool.counters().broke);
   counter("probes_total", "Probes sent in doubt.", pool.counters().probes);
@@ -99,12 +100,42 @@
   counter("fetched_bytes_total", "Bytes of the answers that came whole.", fetches.bytes);
 }
 
+void add_access(metrics::Registry& registry, const CallerAccess& access) {
+  const auto refused = [&registry](const std::string& reason, std::uint64_t count) {
+    registry
+        .counter("pipitpond_access_refused_total", "Statements and sessions that were not let in, by reason.",
+                 {{"reason", reason}})
+        .increment(number(count));
+  };
+  const AccessCounters& counters = access.counters();
+  refused("unknown_key", counters.unknown_key);
+  refused("keys_not_certain", counters.keys_not_certain);
+  refused("over_quota", counters.over_quota);
+  refused("quota_not_told", counters.quota_not_told);
+  registry.counter("pipitpond_access_quota_asked_total", "Questions to other daemons for an operation.")
+      .increment(number(access.quota_counters().asked));
+  registry.counter("pipitpond_access_quota_unanswered_total", "Those of them that got no answer in time.")
+      .increment(number(access.quota_counters().unanswered));
+  registry
+      .gauge("pipitpond_access_proof_age_seconds",
+             "Since the moment up to which the configuration is known to be complete.")
+      .set(std::chrono::duration<double>(access.proof_age(core::BootClock::now())).count());
+  for (const auto& [tenant, bucket] : access.home().buckets()) {
+    registry
+        .gauge("pipitpond_access_home_tokens",
+               "Operations that this daemon, as a tenant's home, could grant.", {{"tenant", tenant.value()}})
+        .set(bucket.tokens());
+  }
+}
+
 }  // namespace
 
-std::string metrics_page(const PoolingCounters& counters, const Backends& backends, const agent::Agent& agent,
-                         std::size_t sessions, bool ready) {
+std::string metrics_page(const PoolingCounters& counters, const Backends& backends,
+                         const CallerAccess& access, const agent::Agent& agent, std::size_t sessions,
+                         bool ready) {
   metrics::Registry registry;
   add_statements(registry, counters);
+  add_access(registry, access);
   for (const auto& pool : backends.pools()) {
     add_pool(registry, *pool);
   }
--- a/src/pooling/metrics_page.hpp
+++ b/src/pooling/metrics_page.hpp
@@ -6,12 +6,14 @@
 
 #include "agent/agent.hpp"
 #include "pooling/backends.hpp"
+#include "pooling/caller_access.hpp"
 #include "pooling/metrics.hpp"
 
 namespace pipitpond::pooling {
 
 /// Body of GET /metrics.
-std::string metrics_page(const PoolingCounters& counters, const Backends& backends, const agent::Agent& agent,
-                         std::size_t sessions, bool ready);
+std::string metrics_page(const PoolingCounters& counters, const Backends& backends,
+                         const CallerAccess& access, const agent::Agent& agent, std::size_t sessions,
+                         bool ready);
 
 }  // namespace pipitpond::pooling
--- a/src/pooling/options.cpp
+++ b/src/pooling/options.cpp
@@ -34,9 +34,10 @@
       .required();
   section_.text("admin.ready_path", options_.ready_path, "Path that answers 200 while the daemon is ready");
   section_.duration("stop.grace_ms", options_.stop_grace, kGraceMillis, "A planned stop takes no longer");
-  section_.duration("tenants.revocation_ms", revocation_, kRevocationMillis,
-                    "A removed key stops working everywhere this long after the removal was acknowledged; leave "
-                    "out to judge keys by the last known table, however old");
+  section_.duration(
+      "tenants.revocation_ms", revocation_, kRevocationMillis,
+      "A removed key stops working everywhere this long after the removal was acknowledged; leave "
+      "out to judge keys by the last known table, however old");
   section_.duration("tenants.quota_window_ms", options_.access.quotas.window, kWindowMillis,
                     "Span over which tenants' quotas are kept");
   section_.integer("tenants.quota_excess_percent", quota_excess_percent_, kPercent,
--- a/src/pooling/owner_preference.hpp
+++ b/src/pooling/owner_preference.hpp
@@ -33,16 +33,17 @@
   auto operator<=>(const OwnerRank&) const = default;
 };
 
-/// Statements that the owner of a tenant's choice may have from one daemon before the next one is as good. A new
-/// connection takes 12 ms and a slot; one more statement in the queue takes a part of a usual statement's time.
+/// Statements that the owner of a tenant's choice may have from one daemon before the next one is as good. A
+/// new connection takes 12 ms and a slot; one more statement in the queue takes a part of a usual statement's
+/// time.
 inline constexpr std::uint32_t kOutstandingForTenant = 4;
 
 /// Near owners go first, for the way crosses zones once at most by an owner in either end's zone.
 ///
-/// A connection carries one tenant's statements. All daemons choose the same owner for a tenant, so that its few
-/// connections there live on: with 84 tenants, 8 owners of 6 connections and each daemon's own choice, 85% of the
-/// statements opened a connection. Without a tenant each daemon prefers another owner, so that all share the work:
-/// in the owners' own order the daemons of a zone would all ask the same one.
+/// A connection carries one tenant's statements. All daemons choose the same owner for a tenant, so that its
+/// few connections there live on: with 84 tenants, 8 owners of 6 connections and each daemon's own choice,
+/// 85% of the statements opened a connection. Without a tenant each daemon prefers another owner, so that all
+/// share the work: in the owners' own order the daemons of a zone would all ask the same one.
 OwnerRank rank(const OwnerCandidate& owner, const OwnerQuestion& question);
 
 }  // namespace pipitpond::pooling
--- a/src/pooling/quota_asker.hpp
+++ b/src/pooling/quota_asker.hpp
@@ -35,7 +35,7 @@
 
 /// Counts since the start.
 struct QuotaCounters {
-  std::uint64_t asked = 0;     ///< Questions to other daemons.
+  std::uint64_t asked = 0;  ///< Questions to other daemons.
   std::uint64_t unanswered = 0;
 };
 
@@ -72,8 +72,8 @@
   QuotaCounters counters_;
 };
 
-/// A home answers at once, from memory: what has not come by now (a way between zones and back takes 2 ms) is not
-/// worth waiting for while there are others.
+/// A home answers at once, from memory: what has not come by now (a way between zones and back takes 2 ms) is
+/// not worth waiting for while there are others.
 inline constexpr core::Duration kQuotaTimeout = std::chrono::milliseconds(120);
 /// A home that did not answer is left alone for this long.
 inline constexpr core::Duration kAvoidSilentHome = std::chrono::milliseconds(300);
--- a/src/pooling/statement_forwarder.cpp
+++ b/src/pooling/statement_forwarder.cpp
@@ -268,7 +268,8 @@
 
 StatementForwarder::LinkPointer StatementForwarder::choose(const std::vector<core::DaemonId>& owners,
                                                            const std::vector<core::DaemonId>& tried,
-                                                           const BackendPool& pool, const core::TenantName& tenant,
+                                                           const BackendPool& pool,
+                                                           const core::TenantName& tenant,
                                                            core::Instant now) const {
   const OwnerQuestion question{tenant, zone_, pool.zone()};
   LinkPointer best;
@@ -294,8 +295,8 @@
                                          const core::TenantName& tenant, core::Instant now) const {
   const LinkPointer best = choose(owners, {}, pool, tenant, now);
   const OwnerQuestion question{tenant, zone_, pool.zone()};
-  return best && rank(OwnerCandidate{&best->daemon, &best->zone, best->outstanding, best->preference}, question) <
-                     rank(OwnerCandidate{&self_, &zone_, 0, 0}, question);
+  return best && rank(OwnerCandidate{&best->daemon, &best->zone, best->outstanding, best->preference},
+                      question) < rank(OwnerCandidate{&self_, &zone_, 0, 0}, question);
 }
 
 void StatementForwarder::tick(core::Instant now) {
--- a/src/pooling/statement_forwarder.hpp
+++ b/src/pooling/statement_forwarder.hpp
@@ -66,7 +66,8 @@
   /// True when one of the owners can be asked.
   [[nodiscard]] bool reaches(const std::vector<core::DaemonId>& owners, const core::DatabaseId& database,
                              core::Instant now) const;
-  /// True when a tenant's statements are better run by another owner, although this daemon owns connections too.
+  /// True when a tenant's statements are better run by another owner, although this daemon owns connections
+  /// too.
   [[nodiscard]] bool prefers_another(const std::vector<core::DaemonId>& owners, const BackendPool& pool,
                                      const core::TenantName& tenant, core::Instant now) const;
   /// A lease on a connection of one of the owners. Nothing is sent before its first statement.
--- a/src/pooling/tenant_demand.hpp
+++ b/src/pooling/tenant_demand.hpp
@@ -1,5 +1,5 @@
-// How much each tenant has asked of a database lately: tells whose idle connection is worth least. No input or
-// output.
+// How much each tenant has asked of a database lately: tells whose idle connection is worth least. No input
+// or output.
 #pragma once
 
 #include <cmath>
@@ -11,8 +11,8 @@
 
 namespace pipitpond::pooling {
 
-/// A use counts half after this long: long enough for the rate of one use in some seconds to show, short enough to
-/// follow a tenant that moves to another zone. A guess; no other was measured.
+/// A use counts half after this long: long enough for the rate of one use in some seconds to show, short
+/// enough to follow a tenant that moves to another zone. A guess; no other was measured.
 inline constexpr core::Duration kDemandHalfLife = std::chrono::seconds(10);
 /// Tenants with less than this (no use for some 70 s) are forgotten.
 inline constexpr double kForgottenDemand = 0.01;
--- a/src/tenancy/access.hpp
+++ b/src/tenancy/access.hpp
@@ -1,8 +1,8 @@
 // Whether a caller's key lets a statement run now. No input or output.
 //
 // A key that control has removed must stop working on every machine, also on one that is cut off, frozen or
-// just restarted and does not know. So a daemon judges keys only while it can prove that its table holds every
-// change that was acknowledged before a recent moment: see agent::Agent::complete_until.
+// just restarted and does not know. So a daemon judges keys only while it can prove that its table holds
+// every change that was acknowledged before a recent moment: see agent::Agent::complete_until.
 #pragma once
 
 #include <cstdint>
--- a/src/tenancy/quota_home.hpp
+++ b/src/tenancy/quota_home.hpp
@@ -1,15 +1,19 @@
 // A daemon as the home of tenants: counts what may still run of each. No input or output.
 //
 // The promise: in every window, all daemons together let no more than
-// (rate x window + burst) x (1 + excess) + slack operations of a tenant run, whatever is cut off, frozen or lost.
-// - Each operation needs a token of one of the tenant's homes, asked for after the operation came. So those that
+// (rate x window + burst) x (1 + excess) + slack operations of a tenant run, whatever is cut off, frozen or
+// lost.
+// - Each operation needs a token of one of the tenant's homes, asked for after the operation came. So those
+// that
 //   come and run within a window took their tokens within it.
-// - A home's bucket gives at most its part of burst + rate x window within a window. It begins empty, but for a
+// - A home's bucket gives at most its part of burst + rate x window within a window. It begins empty, but for
+// a
 //   part of what is allowed in excess: whoever was home before, here or elsewhere, may have given all of it.
-// - A home gives nothing unless it has proved within kHomeProofAge that its configuration is complete. A daemon
-//   that joins and so takes tenants over gives nothing for as long: whoever had them has learnt of it by then, or
-//   has stopped. A silent daemon is removed later than that (after its lease and the databases' rest limit), and
-//   one that leaves stops by itself before, so that those who take over from them need not wait.
+// - A home gives nothing unless it has proved within kHomeProofAge that its configuration is complete. A
+// daemon
+//   that joins and so takes tenants over gives nothing for as long: whoever had them has learnt of it by
+//   then, or has stopped. A silent daemon is removed later than that (after its lease and the databases' rest
+//   limit), and one that leaves stops by itself before, so that those who take over from them need not wait.
 #pragma once
 
 #include <cstdint>
@@ -32,18 +36,18 @@
   std::uint32_t slack = 20;  ///< Operations in a window.
 };
 
-/// A home gives nothing when its configuration was not proved complete for this long. Long enough for control to
-/// elect a leader after a loss of all its processes (2 to 3 s), less than the 4.8 s after which a silent daemon is
-/// removed.
+/// A home gives nothing when its configuration was not proved complete for this long. Long enough for control
+/// to elect a leader after a loss of all its processes (2 to 3 s), less than the 4.8 s after which a silent
+/// daemon is removed.
 inline constexpr core::Duration kHomeProofAge = std::chrono::milliseconds(3000);
-/// Times within one window that all homes of a tenant may begin anew with their part of the excess. Each takes a
-/// start of processes or a change of daemons; six in 5 s were never seen.
+/// Times within one window that all homes of a tenant may begin anew with their part of the excess. Each
+/// takes a start of processes or a change of daemons; six in 5 s were never seen.
 inline constexpr int kBeginningsInWindow = 6;
 
 /// A home's answer to a request for one operation.
 struct QuotaGrant {
   bool granted = false;
-  bool is_home = false;      ///< False: ask another daemon.
+  bool is_home = false;       ///< False: ask another daemon.
   core::Duration retry_in{};  ///< Not granted by a home: when there may be a token.
 };
 
@@ -52,8 +56,8 @@
  public:
   QuotaHome(core::DaemonId self, QuotaLimits limits);
 
-  /// The tenants or the live daemons have changed. `self`: the entry of this life of the daemon; null while there
-  /// is none. That of an earlier life tells nothing: whoever was home then was this daemon itself.
+  /// The tenants or the live daemons have changed. `self`: the entry of this life of the daemon; null while
+  /// there is none. That of an earlier life tells nothing: whoever was home then was this daemon itself.
   void apply(core::Instant now, const TenantDirectory& directory, const QuotaHomes& homes,
              const protocol::Daemon* self);
   /// This daemon leaves: others become the homes.
--- a/src/tenancy/quota_homes.hpp
+++ b/src/tenancy/quota_homes.hpp
@@ -1,8 +1,8 @@
 // Which daemons count a tenant's operations: its homes. No input or output.
 //
-// A tenant's quota is divided equally among its homes, one in each of up to kMostQuotaHomes zones. A daemon asks
-// the home in its own zone first, so that usually nothing crosses zones, and the others when that one's part is
-// used up or it can't be reached: while one of three homes is lost, two thirds of the quota remain.
+// A tenant's quota is divided equally among its homes, one in each of up to kMostQuotaHomes zones. A daemon
+// asks the home in its own zone first, so that usually nothing crosses zones, and the others when that one's
+// part is used up or it can't be reached: while one of three homes is lost, two thirds of the quota remain.
 #pragma once
 
 #include <cstddef>
@@ -26,9 +26,9 @@
   /// Follows the live daemons; true when they have changed.
   bool apply(const protocol::Configuration& configuration);
 
-  /// The tenant's homes by weights that depend on nothing but names, so that a daemon that comes or goes moves
-  /// few tenants. The one in this daemon's zone stands first, the others in an order that differs between
-  /// tenants. Valid until the next change.
+  /// The tenant's homes by weights that depend on nothing but names, so that a daemon that comes or goes
+  /// moves few tenants. The one in this daemon's zone stands first, the others in an order that differs
+  /// between tenants. Valid until the next change.
   [[nodiscard]] const std::vector<core::DaemonId>& of(const core::TenantName& tenant) const;
 
  private:
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -17,8 +17,8 @@
   kTransactionEnd = 9,  ///< pooling::ForwardedEnd, one-way, daemon to owner daemon.
   kPeerProbe = 10,      ///< Empty, both ways: a sign of life, daemon to owner daemon.
   kDatabaseStatus =
-      11,  ///< pooling::ForwardedStatusRequest -> pooling::BackendStatus, daemon to owner daemon.
-  kQuota = 13,             ///< pooling::QuotaRequest -> pooling::QuotaReply, daemon to a tenant's home daemon.
+      11,       ///< pooling::ForwardedStatusRequest -> pooling::BackendStatus, daemon to owner daemon.
+  kQuota = 13,  ///< pooling::QuotaRequest -> pooling::QuotaReply, daemon to a tenant's home daemon.
   kPrimaryPositions = 12,  ///< pooling::PositionRequest -> pooling::PositionReply, daemon to owner daemon.
 };
 
--- a/tests/control/operator_api_test.cpp
+++ b/tests/control/operator_api_test.cpp
@@ -36,8 +36,10 @@
   }
 
   protocol::OperatorReply heartbeat(const std::string& replica, bool draining = false) {
-    const nlohmann::json body = {{"group", "plates"},  {"endpoint", "127.0.0.1:9001"},
-                                 {"zone", "hall"},     {"slots", 3},
+    const nlohmann::json body = {{"group", "plates"},
+                                 {"endpoint", "127.0.0.1:9001"},
+                                 {"zone", "hall"},
+                                 {"slots", 3},
                                  {"draining", draining}};
     return run(io_, apis_.at(replica)->handle({"POST", "/v1/databases/i-1/heartbeat", {}, body.dump()}));
   }
@@ -60,9 +62,10 @@
   const auto registered = heartbeat(follower);
   EXPECT_EQ(registered.status, 200U);
   EXPECT_EQ(forwarded_, 1);
-  EXPECT_EQ(next_of(registered), core::to_string(operators_of(follower))) << "not the leader that carried it out";
-  ASSERT_TRUE(run_until(
-      io_, [&] { return !cluster_.replica(follower).machine().configuration().groups.empty(); }));
+  EXPECT_EQ(next_of(registered), core::to_string(operators_of(follower)))
+      << "not the leader that carried it out";
+  ASSERT_TRUE(
+      run_until(io_, [&] { return !cluster_.replica(follower).machine().configuration().groups.empty(); }));
   for (int times = 0; times < 5; ++times) {
     EXPECT_EQ(next_of(heartbeat(follower)), core::to_string(operators_of(follower)));
   }
--- a/tests/platform/control_requests_test.cpp
+++ b/tests/platform/control_requests_test.cpp
@@ -79,10 +79,11 @@
 }
 
 TEST(ControlRequestsTest, TenantsThatCannotBeReadAreRefusedAndNoErrorShowsAKey) {
-  for (const char* bad : {R"(5)", R"("none")", R"([3])", R"([{"ApiKeys":["secret-1"]}])",
-                          R"([{"Name":"a","ApiKeys":"secret-1"}])", R"([{"Name":"a","ApiKeys":["secret-1",""]}])",
-                          R"([{"Name":"a","ApiKeys":["secret-1",5]}])",
-                          R"([{"Name":"a","ApiKeys":["secret-1"],"RatePerS":-1}])"}) {
+  for (const char* bad :
+       {R"(5)", R"("none")", R"([3])", R"([{"ApiKeys":["secret-1"]}])",
+        R"([{"Name":"a","ApiKeys":"secret-1"}])", R"([{"Name":"a","ApiKeys":["secret-1",""]}])",
+        R"([{"Name":"a","ApiKeys":["secret-1",5]}])",
+        R"([{"Name":"a","ApiKeys":["secret-1"],"RatePerS":-1}])"}) {
     const auto refused = put(with_tenants(nlohmann::json::parse(bad)));
     ASSERT_FALSE(refused.has_value()) << bad;
     EXPECT_EQ(core::describe(refused.error()).find("secret"), std::string::npos) << bad;
--- a/tests/pooling/backend_pool_test.cpp
+++ b/tests/pooling/backend_pool_test.cpp
@@ -199,8 +199,8 @@
 }
 
 TEST_F(BackendPoolTest, TheConnectionOfTheTenantThatAsksLeastMakesRoom) {
-  // 46,405 connections were opened for 72,606 requests of 84 tenants when the one used least lately went: each
-  // request of a small tenant took a large one's away.
+  // 46,405 connections were opened for 72,606 requests of 84 tenants when the one used least lately went:
+  // each request of a small tenant took a large one's away.
   for (int times = 0; times < 3; ++times) {
     const auto lease = acquire(request_of("large"));
   }
--- a/tests/pooling/caller_access_test.cpp
+++ b/tests/pooling/caller_access_test.cpp
@@ -53,7 +53,9 @@
   StatementReply run(CallerSession& session, Statement asked) {
     return pipitpond::testing::run(io_, session.run(std::move(asked)));
   }
-  StatementReply read(CallerSession& session) { return run(session, example_statement(StatementKind::kRead)); }
+  StatementReply read(CallerSession& session) {
+    return run(session, example_statement(StatementKind::kRead));
+  }
 
   std::vector<RanStatement>& ran() { return connector_.database("a").ran; }
 
--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -178,7 +178,8 @@
       co_return core::fail(core::ErrorKind::kOverloaded, "Too many connections.", "Try again.");
     }
     opened_for.push_back(address.tenant.value());
-    co_return std::make_unique<FakeConnection>(io_, found, ++found.connections_opened, address.tenant.value());
+    co_return std::make_unique<FakeConnection>(io_, found, ++found.connections_opened,
+                                               address.tenant.value());
   }
 
   FakeDatabase& database(const std::string& id) { return databases_[id]; }
--- a/tests/pooling/statement_forward_test.cpp
+++ b/tests/pooling/statement_forward_test.cpp
@@ -41,7 +41,9 @@
 class StatementForwardTest : public ::testing::Test {
  protected:
   StatementForwardTest()
-      : owner_(io_, "owner", "zone-owner"), asking_(io_, "asking", "zone-asking"), service_(owner_.backends, owner_.access) {
+      : owner_(io_, "owner", "zone-owner"),
+        asking_(io_, "asking", "zone-asking"),
+        service_(owner_.backends, owner_.access) {
     auto server = wire::Server::start(
         io_, "127.0.0.1", 0,
         [this](wire::PeerId peer, wire::MessageType type, std::string body) {
--- a/tests/tenancy/quota_model_test.cpp
+++ b/tests/tenancy/quota_model_test.cpp
@@ -1,5 +1,5 @@
-// Quotas of a fleet as its daemons keep them, played for thousands of histories with restarts, cuts from control,
-// freezes, departures, newcomers and changed limits, against an oracle of both promises.
+// Quotas of a fleet as its daemons keep them, played for thousands of histories with restarts, cuts from
+// control, freezes, departures, newcomers and changed limits, against an oracle of both promises.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -321,8 +321,8 @@
 }
 
 TEST(QuotaHome, ADaemonThatStartsAgainInItsPlaceGivesAtOnce) {
-  // Its entry is that of its earlier life, which joined; seen as its own it gave nothing for 3 s after a loss of all
-  // power.
+  // Its entry is that of its earlier life, which joined; seen as its own it gave nothing for 3 s after a loss
+  // of all power.
   Control control;
   control.put_quota(kLarge);
   control.admit(core::DaemonId("d"), 1, core::ZoneName("z"));
