--- a/src/pooling/caller_access.cpp
+++ b/src/pooling/caller_access.cpp
@@ -1,6 +1,7 @@
 #include "pooling/caller_access.hpp"
 
 #include <utility>
+#include <vector>
 
 namespace pipitpond::pooling {
 
@@ -48,7 +49,8 @@
   if (known == nullptr || !known->quota) {
     co_return QuotaAnswer{QuotaOutcome::kGranted, {}};
   }
-  co_return co_await asker_.take(homes_, std::move(tenant), take_own_);
+  std::vector<core::DaemonId> homes = homes_.of(tenant);
+  co_return co_await asker_.take(std::move(homes), std::move(tenant), take_own_);
 }
 
 QuotaReply CallerAccess::answer(core::Instant now, const QuotaRequest& request) {
--- a/src/pooling/caller_access.hpp
+++ b/src/pooling/caller_access.hpp
@@ -12,6 +12,7 @@
 #include "pooling/quota_asker.hpp"
 #include "tenancy/access.hpp"
 #include "tenancy/quota_home.hpp"
+#include "tenancy/quota_homes.hpp"
 #include "tenancy/tenant_directory.hpp"
 
 namespace pipitpond::pooling {
--- a/src/pooling/quota_asker.cpp
+++ b/src/pooling/quota_asker.cpp
@@ -37,7 +37,7 @@
   }
 }
 
-awaitable<QuotaAnswer> QuotaAsker::take(const tenancy::QuotaHomes& homes, core::TenantName tenant,
+awaitable<QuotaAnswer> QuotaAsker::take(std::vector<core::DaemonId> homes, core::TenantName tenant,
                                         const TakeOwn& take_own) {
   QuotaAnswer answer{QuotaOutcome::kNotTold, kQuotaComeBack};
   const auto note_empty = [&answer](core::Duration retry_in) {
@@ -45,8 +45,7 @@
     answer.retry_in = first ? retry_in : std::min(answer.retry_in, retry_in);
     answer.outcome = QuotaOutcome::kOverQuota;
   };
-  const std::vector<core::DaemonId> all = homes.of(tenant);  // A copy: daemons may change while one is asked.
-  for (const core::DaemonId& home : all) {
+  for (const core::DaemonId& home : homes) {
     const core::Instant now = core::BootClock::now();
     if (home == self_) {
       const tenancy::QuotaGrant grant = take_own(tenant);
@@ -68,12 +67,20 @@
       note_empty(empty->second - now);
       continue;
     }
+    const auto disowned = link->no_home_until.find(tenant);
+    if (disowned != link->no_home_until.end() && now < disowned->second) {
+      continue;
+    }
     const auto reply = co_await ask(link, tenant);
     const core::Instant answered = core::BootClock::now();
-    if (!reply || !reply.value().is_home) {
+    if (!reply) {
       link->avoided_until = answered + kAvoidSilentHome;
       continue;
     }
+    if (!reply.value().is_home) {
+      link->no_home_until[tenant] = answered + kAvoidSilentHome;
+      continue;
+    }
     if (reply.value().granted) {
       co_return QuotaAnswer{QuotaOutcome::kGranted, {}};
     }
--- a/src/pooling/quota_asker.hpp
+++ b/src/pooling/quota_asker.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
@@ -16,7 +17,6 @@
 #include "core/ids.hpp"
 #include "pooling/quota_messages.hpp"
 #include "protocol/configuration.hpp"
-#include "tenancy/quota_homes.hpp"
 #include "wire/channel.hpp"
 
 namespace pipitpond::pooling {
@@ -49,7 +49,8 @@
 
   /// Follows the daemons that the configuration names.
   void apply(const protocol::Configuration& configuration);
-  boost::asio::awaitable<QuotaAnswer> take(const tenancy::QuotaHomes& homes, core::TenantName tenant,
+  /// `homes`: the tenant's, in the order in which they are to be asked.
+  boost::asio::awaitable<QuotaAnswer> take(std::vector<core::DaemonId> homes, core::TenantName tenant,
                                            const TakeOwn& take_own);
 
   [[nodiscard]] const QuotaCounters& counters() const { return counters_; }
@@ -59,8 +60,9 @@
     core::Endpoint endpoint;
     std::uint64_t incarnation = 0;
     std::shared_ptr<wire::Channel> channel;  ///< Null until it is asked for the first time.
-    core::Instant avoided_until{};           ///< It did not answer, or is no home.
+    core::Instant avoided_until{};           ///< It did not answer.
     std::map<core::TenantName, core::Instant> empty_until;
+    std::map<core::TenantName, core::Instant> no_home_until;  ///< It said that it is no home of theirs.
   };
   using LinkPointer = std::shared_ptr<Link>;
 
@@ -75,7 +77,7 @@
 /// A home answers at once, from memory: what has not come by now (a way between zones and back takes 2 ms) is
 /// not worth waiting for while there are others.
 inline constexpr core::Duration kQuotaTimeout = std::chrono::milliseconds(120);
-/// A home that did not answer is left alone for this long.
+/// A home that did not answer, or said that it is none, is left alone for this long.
 inline constexpr core::Duration kAvoidSilentHome = std::chrono::milliseconds(300);
 /// When a caller may come back after no home could be asked.
 inline constexpr core::Duration kQuotaComeBack = std::chrono::milliseconds(200);
--- a/src/tenancy/quota_homes.cpp
+++ b/src/tenancy/quota_homes.cpp
@@ -39,6 +39,7 @@
 
 std::vector<core::DaemonId> QuotaHomes::choose(const core::TenantName& tenant) const {
   std::vector<core::ZoneName> zones;
+  zones.reserve(live_.size());
   for (const auto& [name, daemons] : live_) {
     zones.push_back(name);
   }
@@ -54,6 +55,7 @@
     std::rotate(zones.begin(), own, own + 1);
   }
   std::vector<core::DaemonId> homes;
+  homes.reserve(zones.size());
   for (const core::ZoneName& one : zones) {
     homes.push_back(heaviest(live_.at(one), tenant));
   }
