--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -133,46 +133,25 @@
       timeouts_(timeouts) {}
 
 awaitable<OperatorReply> OperatorApi::handle(OperatorRequest request) {
-  if (is_database_notice(request)) {
-    co_return co_await handle_notice(std::move(request));
-  }
-  const core::Instant give_up = core::BootClock::now() + timeouts_.leader_change;
-  co_return co_await try_until(std::move(request), give_up);
-}
-
-awaitable<OperatorReply> OperatorApi::handle_notice(OperatorRequest request) {
-  if (notices_waiting_ >= kMostNoticesWaiting) {
-    co_return error_reply(core::Error{core::ErrorKind::kUnavailable, "Too many notices wait for the leader.",
-                                      "Ask another control replica.", 0});
-  }
   if (auto known = answer_known_database(request)) {
     co_return std::move(*known);
   }
-  ++notices_waiting_;
-  const core::Instant give_up = core::BootClock::now() + timeouts_.notice;
-  OperatorReply reply = co_await try_until(std::move(request), give_up);
-  --notices_waiting_;
-  if (reply.status == kOk) {
-    co_return database_reply();  // Not the leader's, which names the leader.
-  }
-  co_return reply;
-}
-
-awaitable<OperatorReply> OperatorApi::try_until(OperatorRequest request, core::Instant give_up) {
-  core::Duration pause_before_next = timeouts_.retry_interval;
+  const core::Instant give_up = core::BootClock::now() + timeouts_.leader_change;
   while (true) {
-    OperatorReply reply = co_await attempt(request, give_up);
+    OperatorReply reply = co_await attempt(request);
     if (!worth_another_attempt(reply) || core::BootClock::now() >= give_up) {
+      if (reply.status == kOk && is_database_notice(request)) {
+        co_return database_reply();  // Not the leader's, which names the leader.
+      }
       co_return reply;
     }
     boost::system::error_code ignored;
-    boost::asio::steady_timer pause(io_, pause_before_next);
+    boost::asio::steady_timer pause(io_, timeouts_.retry_interval);
     co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    pause_before_next *= 2;
   }
 }
 
-awaitable<OperatorReply> OperatorApi::attempt(OperatorRequest request, core::Instant give_up) {
+awaitable<OperatorReply> OperatorApi::attempt(OperatorRequest request) {
   if (replica_.leading()) {
     co_return co_await handle_as_leader(std::move(request));
   }
@@ -183,8 +162,7 @@
     error.kind = core::ErrorKind::kNotLeader;
     co_return error_reply(error);
   }
-  const core::Duration left = std::max(core::Duration::zero(), give_up - core::BootClock::now());
-  auto reply = co_await forward_(*leader, std::move(request), std::min(timeouts_.forward, left));
+  auto reply = co_await forward_(*leader, std::move(request), timeouts_.forward);
   if (!reply) {
     co_return error_reply(reply.error());
   }
@@ -320,7 +298,7 @@
   if (!command) {
     co_return error_reply(command.error());
   }
-  const auto result = co_await replica_.propose(std::move(command.value()), timeouts_.notice);
+  const auto result = co_await replica_.propose(std::move(command.value()), timeouts_.proposal);
   if (!result) {
     co_return error_reply(result.error());
   }
--- a/src/control/operator_api.hpp
+++ b/src/control/operator_api.hpp
@@ -35,15 +35,8 @@
   /// A request that meets a change of leader is tried again for so long. Safe: changes carry a key.
   core::Duration leader_change = std::chrono::milliseconds(3000);
   core::Duration retry_interval = std::chrono::milliseconds(50);
-  /// A database waits for a second for the answer to its notice and then asks elsewhere: what is still worked
-  /// on after that is work for nobody, of which there is the more the less control keeps up.
-  core::Duration notice = std::chrono::milliseconds(800);
 };
 
-/// Notices of databases that wait for the leader at one replica. One more is refused at once, unread: its
-/// database asks another replica sooner, and what waits keeps its time.
-inline constexpr std::size_t kMostNoticesWaiting = 128;
-
 /// Carries out operators' requests.
 class OperatorApi {
  public:
@@ -58,9 +51,7 @@
  private:
   using Reply = protocol::OperatorReply;
 
-  boost::asio::awaitable<Reply> try_until(protocol::OperatorRequest request, core::Instant give_up);
-  boost::asio::awaitable<Reply> handle_notice(protocol::OperatorRequest request);
-  boost::asio::awaitable<Reply> attempt(protocol::OperatorRequest request, core::Instant give_up);
+  boost::asio::awaitable<Reply> attempt(protocol::OperatorRequest request);
   boost::asio::awaitable<Reply> handle_get(std::string path);
   boost::asio::awaitable<Reply> handle_put(protocol::OperatorRequest request);
   boost::asio::awaitable<Reply> handle_post(protocol::OperatorRequest request);
@@ -82,7 +73,6 @@
   ForwardToLeader forward_;
   CheckPolicy check_policy_;
   OperatorTimeouts timeouts_;
-  std::size_t notices_waiting_ = 0;
 };
 
 /// An error as the operator gets it.
