--- a/src/pooling/forward_messages.hpp
+++ b/src/pooling/forward_messages.hpp
@@ -8,6 +8,7 @@
 
 #include "core/ids.hpp"
 #include "core/log_position.hpp"
+#include "pooling/owner_load.hpp"
 #include "pooling/session_state.hpp"
 #include "pooling/statement.hpp"
 
@@ -39,8 +40,9 @@
 struct ForwardedAnswer {
   StatementReply reply;
   ForwardedTransaction transaction = 0;  ///< The one that is open now; 0: none.
+  OwnerLoad load;                        ///< Of the owner's line for the database.
 
-  MSGPACK_DEFINE(reply, transaction);
+  MSGPACK_DEFINE(reply, transaction, load);
 };
 
 /// Asks an owner for a database's status, asked for after this message arrived. Answered with a
