Test that a replica that lost its disk is soon a voter again; fails

Cause: in the logs of the failed run control had three leaders of 1 to 2 s each between losses; none changed the membership, for each counts 1.6 s of silence anew before it lets the returned replica in. Ruled out: a lost commit (no promise broken), an election that fails for another reason (the one replica that stands has the newest log and gets no vote, for its membership names the lost replica).

--- a/tests/raft/membership_test.cpp
+++ b/tests/raft/membership_test.cpp
@@ -91,6 +91,45 @@
   EXPECT_EQ(cluster.at(newcomer.id).applied, (std::vector<std::string>{"a", "b"}));
 }
 
+// What users saw: control did not come back after a loss of all power with one disk, for good. Order of
+// events: one of three replicas lost its disk and returned; all of control was killed and returned three
+// times; then everything lost power and a second disk was lost. Cause: the leader let the returned replica
+// take its own earlier self's place only after that had been silent for four of the longest election
+// timeouts, counted anew by each leader, and no leader stayed for so long. So the replica was no voter when
+// the second disk went, and no majority was left. Evidence: the logs of a failed run show three leaders, no
+// membership change, and one replica standing for election alone.
+TEST(Membership, ReplicaWithLostDiskIsAVoterAgainUnderAShortLivedLeader) {
+  Cluster cluster(3);
+  ASSERT_TRUE(cluster.commit("a"));
+  const auto leader = cluster.leader()->config().id;
+  const auto lost = leader == replica(1) ? replica(2) : replica(1);
+  cluster.stop(lost);
+  auto newcomer = member(core::ControlId(lost.value() + "#2"), MemberRole::kLearner);
+  newcomer.internal = member(lost).internal;
+  cluster.start(newcomer.id, {});
+
+  // Its driver asks each 100 ms.
+  const auto begun = cluster.now;
+  auto next_request = cluster.now;
+  const auto in_its_place = [&] {
+    Node* present = cluster.leader();
+    if (present != nullptr && cluster.now >= next_request) {
+      next_request = cluster.now + milliseconds(100);
+      present->step(cluster.now, cluster.node(newcomer.id).join_request(newcomer));
+    }
+    return present != nullptr && present->membership().is_voter(newcomer.id) &&
+           present->membership().find(lost) == nullptr && !present->membership_change_pending();
+  };
+  ASSERT_TRUE(cluster.run_until(in_its_place));
+  // A leader that stays for a second is enough: leaders that are elected after a loss of power do.
+  EXPECT_LE(cluster.now - begun, milliseconds(1000));
+
+  // The second disk goes; what is left is a majority.
+  cluster.stop(leader);
+  ASSERT_TRUE(cluster.run_until([&] { return cluster.leader() != nullptr; }));
+  EXPECT_EQ(cluster.elect().membership().voter_count(), 3U);
+}
+
 TEST(Membership, LearnerWhoseAdditionWasLostAsksAgain) {
   Cluster cluster(3);
   ASSERT_TRUE(cluster.commit("a"));
