Let a replica that lost its disk take its place again after one election timeout of silence

Ruled out: replacing the old voter by the new one in one step (the two majorities need not meet). Change: one shortest election timeout; requests to join each 100 ms in place of 300. Safe: what is let in early is a learner.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -19,7 +19,9 @@
 
 /// Between looks at whether all other members are connected.
 constexpr core::Duration kConnectInterval = std::chrono::milliseconds(50);
-constexpr core::Duration kJoinInterval = std::chrono::milliseconds(300);
+/// Between requests to join: a third of the shortest election timeout, so that a leader that is just elected
+/// hears one soon. A request is some 100 bytes to each known replica.
+constexpr core::Duration kJoinInterval = std::chrono::milliseconds(100);
 /// Between attempts to start on a disk without room.
 constexpr core::Duration kFullDiskRetryAtStart = std::chrono::milliseconds(500);
 constexpr core::Duration kHandOverLimit = std::chrono::seconds(3);
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// A member that has not answered for this many election timeouts may be replaced by a joining replica.
-constexpr int kLostAfterElectionTimeouts = 4;
 /// Silent voters are removed down to this many.
 constexpr std::size_t kLeastVotersKept = 3;
 
@@ -175,11 +173,15 @@
     if (config_.open_membership) admit_stranger(joiner);
     return;
   }
-  // At the place of a known member the newcomer stands in its stead, provided that the known one is really
-  // silent.
+  // At the place of a known member the newcomer stands in its stead, provided that the known one is silent:
+  // as long as makes a follower doubt its leader, for a member that lives answers several heartbeats in that
+  // time. A longer wait, counted anew by each leader, can outlast them all: with four of the longest election
+  // timeouts a replica that had lost its disk was a voter again after 2,500 ms of a leader's reign, now after
+  // 500, measured in virtual time by a test; a second disk that is lost meanwhile leaves no majority. Letting
+  // it in early is safe: it is a learner, which counts in no majority, until it holds all that is committed.
   if (same_place->id == config_.id) return;
   const auto contact = std::max(last_contact(same_place->id).value_or(leader_since_), leader_since_);
-  if (now_ - contact < config_.election_timeout_max * kLostAfterElectionTimeouts) return;
+  if (now_ - contact < config_.election_timeout_min) return;
   const auto& known = *same_place;
   auto changed = membership();
   if (known.role == MemberRole::kLearner) {
