--- a/src/operators/command_line.cpp
+++ b/src/operators/command_line.cpp
@@ -4,12 +4,14 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <filesystem>
 #include <fstream>
 #include <optional>
 #include <ostream>
 #include <sstream>
 #include <utility>
 
+#include "explain/day_account.hpp"
 #include "explain/explanation.hpp"
 #include "explain/log_record.hpp"
 #include "operators/change_file.hpp"
@@ -29,6 +31,7 @@
   policy check FILE                               check a policy without submitting it
   explain --proxy ADDRESS:PORT REQUEST            why a recent request went where it went
   explain --logs FILE [--logs FILE ...] REQUEST   why a request failed or came late, from collected logs
+  explain --day FOLDER                            what the worst seconds were lost to, from the logs in a folder
   explain --proxy ADDRESS:PORT --group NAME       where such a request would go now; see --kind, --tenant,
                                                   --session, --key and --repeatable
 
@@ -36,12 +39,15 @@
 )";
 
 constexpr int kIndent = 2;
+/// Windows of a day that explain --day shows: those worth an operator's look, on two pages of a terminal.
+constexpr std::size_t kWindowsShown = 8;
 
 struct Options {
   std::vector<core::Endpoint> control;
   std::optional<core::Endpoint> proxy;
   std::string file;
   std::vector<std::string> logs;
+  std::optional<std::string> day;  ///< Folder with the logs of all processes.
   std::string key;
   nlohmann::json described;  ///< Request that explain is asked about; null: none.
   bool json = false;
@@ -99,6 +105,7 @@
   add("f,file", "File for apply", cxxopts::value<std::string>());
   add("logs", "Log of a process, or of several; may be given several times",
       cxxopts::value<std::vector<std::string>>(), "FILE");
+  add("day", "Folder with the logs of all processes, for explain", cxxopts::value<std::string>(), "FOLDER");
   add("key", "Key of the change; resending with the same key changes nothing twice. Default: a new one",
       cxxopts::value<std::string>());
   add("o,output", "json or table", cxxopts::value<std::string>()->default_value("table"));
@@ -132,6 +139,9 @@
     options.proxy = endpoint_of(parsed["proxy"].as<std::string>(), "--proxy");
   }
   options.file = parsed.count("file") > 0 ? parsed["file"].as<std::string>() : "";
+  if (parsed.count("day") > 0) {
+    options.day = parsed["day"].as<std::string>();
+  }
   if (parsed.count("logs") > 0) {
     options.logs = parsed["logs"].as<std::vector<std::string>>();
   }
@@ -385,7 +395,31 @@
     return explanation.cause == explain::Cause::kNotLogged ? ExitCode::kRefused : ExitCode::kOk;
   }
 
+  /// Reads one line after the other, so that the logs of a whole fleet need little memory.
+  ExitCode explain_day() {
+    expect_words(1);
+    std::error_code failed;
+    const std::filesystem::directory_iterator files(*options_.day, failed);
+    if (failed) {
+      throw UsageError{"can't read the folder " + *options_.day, "Name a folder that this user may read."};
+    }
+    explain::DayAccount account;
+    for (const auto& entry : files) {
+      std::ifstream lines(entry.path());
+      for (std::string line; std::getline(lines, line);) {
+        if (const auto record = explain::parse_line(line)) {
+          account.add(*record);
+        }
+      }
+    }
+    output_.out << explain::to_text(account, kWindowsShown);
+    return ExitCode::kOk;
+  }
+
   ExitCode explain() {
+    if (options_.day) {
+      return explain_day();
+    }
     if (!options_.logs.empty()) {
       return explain_from_logs();
     }
