--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -31,11 +31,6 @@
 /// How much longer it may stay after an opening that was not refused.
 constexpr core::Duration kBorrowedIdleStep = std::chrono::milliseconds(10);
 
-/// Its answer may wait for a replica's receipt.
-bool writes(const Statement& statement) {
-  return statement.kind == StatementKind::kCommit || may_write(statement);
-}
-
 core::Error closed_error() {
   return core::Error{core::ErrorKind::kLeaving, "The database is no longer served.", "Choose another one.",
                      0};
@@ -56,127 +51,6 @@
   std::optional<core::Error> error;
 };
 
-// --- Lease
-// -----------------------------------------------------------------------------------------------------
-
-ConnectionLease::ConnectionLease(std::shared_ptr<BackendPool> pool,
-                                 std::unique_ptr<PooledConnection> connection)
-    : pool_(std::move(pool)), connection_(std::move(connection)) {
-  pool_->in_use_.insert(connection_.get());
-}
-
-ConnectionLease::~ConnectionLease() {
-  give_back();
-}
-
-ConnectionLease& ConnectionLease::operator=(ConnectionLease&& other) noexcept {
-  if (this != &other) {
-    give_back();
-    pool_ = std::move(other.pool_);
-    connection_ = std::move(other.connection_);
-    in_transaction_ = other.in_transaction_;
-  }
-  return *this;
-}
-
-void ConnectionLease::give_back() {
-  if (connection_) {
-    const bool reusable = !in_transaction_;
-    set_in_transaction(false);
-    pool_->take_back(std::move(connection_), reusable);
-  }
-}
-
-void ConnectionLease::set_in_transaction(bool in_transaction) {
-  if (in_transaction == in_transaction_) {
-    return;
-  }
-  in_transaction_ = in_transaction;
-  if (in_transaction) {
-    ++pool_->transactions_;
-    pool_->serve_waiters();
-  } else {
-    --pool_->transactions_;
-  }
-}
-
-void ConnectionLease::discard() {
-  connection_->link->close();
-}
-
-awaitable<core::Result<StatementReply>> ConnectionLease::run(const SessionState& session,
-                                                             BackendStatement statement,
-                                                             core::Duration timeout) {
-  std::vector<BackendStatement> batch;
-  for (Statement& before :
-       align_connection(session, connection_->state, statement.statement, in_transaction_)) {
-    batch.push_back(BackendStatement{std::move(before), {}});
-  }
-  batch.push_back(std::move(statement));
-  co_return co_await run_batch(std::move(batch), timeout);
-}
-
-awaitable<core::Result<StatementReply>> ConnectionLease::run_own(Statement statement,
-                                                                 core::Duration timeout) {
-  std::vector<BackendStatement> batch;
-  batch.push_back(BackendStatement{std::move(statement), {}});
-  co_return co_await run_batch(std::move(batch), timeout);
-}
-
-awaitable<core::Result<StatementReply>> ConnectionLease::run_batch(std::vector<BackendStatement> batch,
-                                                                   core::Duration timeout) {
-  const Statement& asked = batch.back().statement;
-  const bool reads_alone = !in_transaction_ && !writes(asked);
-  connection_->expendable = reads_alone;
-  const core::Instant sent = core::BootClock::now();
-  BackendHealth& health = pool_->health_;
-  const BatchNumber number = health.on_sent(sent, writes(asked));
-  auto replies = co_await connection_->link->run(std::move(batch), timeout);
-  connection_->expendable = false;
-  const core::Instant now = core::BootClock::now();
-  if (!replies) {
-    const bool broke = replies.error().kind != core::ErrorKind::kTimeout;
-    health.on_abandoned(now, number, broke);
-    ++pool_->counters_.broke;
-    co_return replies.error();
-  }
-  health.on_answered(now, number);
-  pool_->note_latency(now - sent);
-  for (std::size_t before = 0; before + 1 < replies.value().size(); ++before) {
-    if (replies.value()[before].failure) {
-      connection_->link->close();
-      co_return core::fail(core::ErrorKind::kConnectionLost,
-                           "The connection could not take the session's state.",
-                           "Run the statement on another connection.");
-    }
-  }
-  StatementReply reply = std::move(replies.value().back());
-  const bool refused = reply.failure && reply.failure->code == FailureCode::kBusy;
-  if (refused) {
-    pool_->concurrency_.on_refused(now);
-  } else {
-    pool_->concurrency_.on_answered(now, now - sent);
-  }
-  set_in_transaction(reply.state != TransactionState::kIdle);
-  co_return reply;
-}
-
-awaitable<core::Result<BackendStatus>> ConnectionLease::status(core::Duration timeout) {
-  const BatchNumber number = pool_->health_.on_sent(core::BootClock::now(), false);
-  auto status = co_await connection_->link->status(std::max(timeout, core::Duration::zero()));
-  const core::Instant now = core::BootClock::now();
-  const bool answered = status || connection_->link->is_open();
-  if (answered) {
-    pool_->health_.on_answered(now, number);
-  } else {
-    pool_->health_.on_abandoned(now, number, status.error().kind != core::ErrorKind::kTimeout);
-  }
-  co_return status;
-}
-
-// --- Pool
-// ------------------------------------------------------------------------------------------------------
-
 BackendPool::BackendPool(boost::asio::io_context& io, BackendConnector& connector, BackendAddress address,
                          core::ZoneName zone)
     : io_(io),
@@ -193,7 +67,7 @@
   share_ = share;
   concurrency_.set_bounds(share.first_concurrency, share.most_concurrency);
   while (!idle_.empty() && held() > share_.most) {
-    idle_.pop_front();
+    idle_.close_oldest();
   }
   open_when_needed();
 }
@@ -213,7 +87,7 @@
     pool->demand_.note_use(core::BootClock::now(), *request.tenant);
   }
   if (pool->waiters_.empty() && pool->may_run_another()) {
-    if (auto idle = pool->take_idle(request.tenant, request.session)) {
+    if (auto idle = pool->idle_.take(request.tenant, request.session)) {
       co_return ConnectionLease(pool, std::move(idle));
     }
   }
@@ -260,34 +134,6 @@
   co_return co_await lease.value().status(deadline - core::BootClock::now());
 }
 
-void BackendPool::drop_closed_idle() {
-  std::erase_if(idle_, [](const auto& connection) { return !connection->link->is_open(); });
-}
-
-bool BackendPool::has_idle_for(const std::optional<core::TenantName>& tenant) const {
-  return std::any_of(idle_.begin(), idle_.end(),
-                     [&](const auto& connection) { return !tenant || connection->tenant == *tenant; });
-}
-
-std::unique_ptr<PooledConnection> BackendPool::take_idle(const std::optional<core::TenantName>& tenant,
-                                                         const SessionState* session) {
-  drop_closed_idle();
-  const auto belongs = [&](const auto& connection) { return !tenant || connection->tenant == *tenant; };
-  auto chosen = std::find_if(idle_.rbegin(), idle_.rend(), belongs);
-  if (chosen == idle_.rend()) {
-    return nullptr;
-  }
-  if (session != nullptr) {
-    const auto fitting = std::find_if(idle_.rbegin(), idle_.rend(), [&](const auto& connection) {
-      return belongs(connection) && has_values_of(connection->state, *session);
-    });
-    chosen = fitting != idle_.rend() ? fitting : chosen;
-  }
-  std::unique_ptr<PooledConnection> connection = std::move(*chosen);
-  idle_.erase(std::prev(chosen.base()));
-  return connection;
-}
-
 void BackendPool::open_when_needed() {
   const bool resting = core::BootClock::now() < next_open_;
   while (!closed_ && !resting && may_run_another()) {
@@ -318,26 +164,11 @@
   if (idle_.empty()) {
     return false;
   }
-  idle_.erase(least_wanted_idle());
+  idle_.close_least_wanted(core::BootClock::now(), demand_);
   ++counters_.made_room;
   return true;
 }
 
-std::deque<std::unique_ptr<PooledConnection>>::iterator BackendPool::least_wanted_idle() {
-  std::map<core::TenantName, double> held_by;
-  for (const auto& connection : idle_) {
-    ++held_by[connection->tenant];
-  }
-  const core::Instant now = core::BootClock::now();
-  std::map<core::TenantName, double> worth;
-  for (const auto& [tenant, count] : held_by) {
-    worth[tenant] = demand_.of(now, tenant) / count;
-  }
-  return std::min_element(idle_.begin(), idle_.end(), [&](const auto& left, const auto& right) {
-    return worth.at(left->tenant) < worth.at(right->tenant);
-  });
-}
-
 void BackendPool::begin_to_open(core::TenantName tenant) {
   ++opening_;
   ++opening_for_[tenant];
@@ -356,8 +187,8 @@
 }
 
 void BackendPool::give_back_borrowed(core::Instant now) {
-  while (!idle_.empty() && held() > share_.kept && now - idle_.front()->idle_since >= borrowed_idle_limit_) {
-    idle_.erase(least_wanted_idle());
+  while (!idle_.empty() && held() > share_.kept && now - idle_.oldest_since() >= borrowed_idle_limit_) {
+    idle_.close_least_wanted(now, demand_);
     ++counters_.given_back;
   }
 }
@@ -411,7 +242,7 @@
 /// The first that can still be answered in time, or else the first.
 std::shared_ptr<PoolWaiter> BackendPool::take_next_waiter() {
   const core::Instant answered = core::BootClock::now() + usual_latency_;
-  const auto servable = [this](const auto& waiter) { return has_idle_for(waiter->tenant); };
+  const auto servable = [this](const auto& waiter) { return idle_.has_for(waiter->tenant); };
   auto next = std::find_if(waiters_.begin(), waiters_.end(),
                            [&](const auto& waiter) { return answered <= waiter->goal && servable(waiter); });
   if (next == waiters_.end()) {
@@ -432,7 +263,7 @@
   }
   if (held() < share_.most) {
     connection->idle_since = core::BootClock::now();
-    idle_.push_back(std::move(connection));
+    idle_.add(std::move(connection));
   }
   serve_waiters();
 }
@@ -443,13 +274,13 @@
 }
 
 void BackendPool::serve_waiters() {
-  drop_closed_idle();
+  idle_.drop_closed();
   while (!waiters_.empty() && in_use_.size() - transactions_ < concurrency_.limit()) {
     const std::shared_ptr<PoolWaiter> waiter = take_next_waiter();
     if (!waiter) {
       break;
     }
-    waiter->connection = take_idle(waiter->tenant, waiter->session);
+    waiter->connection = idle_.take(waiter->tenant, waiter->session);
     in_use_.insert(waiter->connection.get());
     waiter->timer.cancel();
   }
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -5,7 +5,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
-#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -18,63 +17,18 @@
 #include "pooling/backend.hpp"
 #include "pooling/backend_health.hpp"
 #include "pooling/concurrency_limit.hpp"
+#include "pooling/connection_lease.hpp"
 #include "pooling/connection_share.hpp"
+#include "pooling/idle_connections.hpp"
+#include "pooling/pooled_connection.hpp"
 #include "pooling/replica_reach.hpp"
 #include "pooling/session_state.hpp"
-#include "pooling/statement_lease.hpp"
 #include "pooling/tenant_demand.hpp"
 
 namespace pipitpond::pooling {
 
-class BackendPool;
 struct PoolWaiter;
 
-/// A connection and what it has been told.
-struct PooledConnection {
-  std::unique_ptr<BackendConnection> link;
-  core::TenantName tenant;  ///< Whose statements it carries.
-  ConnectionState state;
-  /// A read under way on it may be run elsewhere: it is cut off when the database is found unreachable.
-  bool expendable = false;
-  core::Instant idle_since{};
-};
-
-/// A lease on one of this daemon's own connections. Gives it back when it is destroyed: open and outside a
-/// transaction, or else closed.
-class ConnectionLease : public StatementLease {
- public:
-  ConnectionLease(std::shared_ptr<BackendPool> pool, std::unique_ptr<PooledConnection> connection);
-  ~ConnectionLease() override;
-  ConnectionLease(ConnectionLease&&) noexcept = default;
-  ConnectionLease& operator=(ConnectionLease&&) noexcept;
-  ConnectionLease(const ConnectionLease&) = delete;
-  ConnectionLease& operator=(const ConnectionLease&) = delete;
-
-  /// A statement that had to go before it and failed counts as a lost connection.
-  boost::asio::awaitable<core::Result<StatementReply>> run(const SessionState& session,
-                                                           BackendStatement statement,
-                                                           core::Duration timeout) override;
-  /// Runs a statement of the proxy itself.
-  boost::asio::awaitable<core::Result<StatementReply>> run_own(Statement statement, core::Duration timeout);
-
-  /// Asks the database for its status. Errors as BackendConnection::status.
-  boost::asio::awaitable<core::Result<BackendStatus>> status(core::Duration timeout);
-
-  [[nodiscard]] const std::shared_ptr<BackendPool>& pool() const { return pool_; }
-  void discard() override;
-  [[nodiscard]] core::Duration longest_wait() const override { return core::Duration::zero(); }
-
- private:
-  boost::asio::awaitable<core::Result<StatementReply>> run_batch(std::vector<BackendStatement> batch,
-                                                                 core::Duration timeout);
-  void give_back();
-  void set_in_transaction(bool in_transaction);
-
-  std::shared_ptr<BackendPool> pool_;
-  std::unique_ptr<PooledConnection> connection_;
-  bool in_transaction_ = false;
-};
-
 /// Who asks for a connection.
 struct ConnectionRequest {
   std::uint32_t priority = 0;  ///< 0 goes first.
@@ -156,17 +110,10 @@
  private:
   friend class ConnectionLease;
 
-  std::unique_ptr<PooledConnection> take_idle(const std::optional<core::TenantName>& tenant,
-                                              const SessionState* session);
-  [[nodiscard]] bool has_idle_for(const std::optional<core::TenantName>& tenant) const;
-  void drop_closed_idle();
   /// The first that waits and for which no connection is being opened; null: none.
   [[nodiscard]] std::shared_ptr<PoolWaiter> next_without_opening() const;
   /// False when all connections that may be held are in use.
   bool make_room();
-  /// The idle connection whose tenant asks least for each that it holds; of those that are alike, the one
-  /// used least lately. There must be one.
-  [[nodiscard]] std::deque<std::unique_ptr<PooledConnection>>::iterator least_wanted_idle();
   void open_when_needed();
   void open_ahead(core::Instant now);
   void give_back_borrowed(core::Instant now);
@@ -201,7 +148,7 @@
   core::Instant next_open_{};
   core::Instant next_warm_up_{};
   core::Duration borrowed_idle_limit_;  ///< A borrowed connection that is idle for this long is closed.
-  std::deque<std::unique_ptr<PooledConnection>> idle_;  ///< The one used last is at the back.
+  IdleConnections idle_;
   std::set<PooledConnection*> in_use_;
   std::list<std::shared_ptr<PoolWaiter>> waiters_;  ///< By priority, then order of arrival.
   core::Duration usual_latency_;
