Pool: a statement may wait for its tenant's connection instead of a new one

Cause: a connection was opened for each statement that found none idle, also while one of its tenant ran a statement that ends in a few ms. An opening takes a slot of the database for longer than a usual statement. Transactions' and overdue connections are not counted on. Only where connections belong to tenants.

--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "pooling/opening_choice.hpp"
 #include "pooling/waiting.hpp"
 
 namespace pipitpond::pooling {
@@ -46,6 +47,7 @@
   core::Instant goal;
   const SessionState* session = nullptr;
   std::optional<core::TenantName> tenant;
+  bool counted_as_waiting = false;  ///< In PoolCounters::waited_instead.
   boost::asio::steady_timer timer;
   std::unique_ptr<PooledConnection> connection;
   std::optional<core::Error> error;
@@ -57,6 +59,7 @@
       connector_(connector),
       address_(std::move(address)),
       zone_(std::move(zone)),
+      openings_check_(io),
       borrowed_idle_limit_(kBorrowedIdleMax / 2),
       usual_latency_(kFirstLatency),
       usual_opening_(kFirstLatency) {}
@@ -134,29 +137,86 @@
   co_return co_await lease.value().status(deadline - core::BootClock::now());
 }
 
+void BackendPool::note_in_use(PooledConnection& connection) {
+  in_use_.insert(&connection);
+  connection.in_use_since = core::BootClock::now();
+  connection.in_transaction = false;
+}
+
 void BackendPool::open_when_needed() {
   const bool resting = core::BootClock::now() < next_open_;
   while (!closed_ && !resting && may_run_another()) {
-    const std::shared_ptr<PoolWaiter> waiter = next_without_opening();
+    const std::shared_ptr<PoolWaiter> waiter = next_to_open_for();
     if (!waiter || !make_room()) {
       break;
     }
+    ++counters_.opened_for_want;
     begin_to_open(waiter->tenant.value_or(core::TenantName()));
   }
 }
 
-std::shared_ptr<PoolWaiter> BackendPool::next_without_opening() const {
+std::shared_ptr<PoolWaiter> BackendPool::next_to_open_for() {
   std::map<core::TenantName, std::size_t> openings = opening_for_;
+  std::map<core::TenantName, std::size_t> before;
   for (const std::shared_ptr<PoolWaiter>& waiter : waiters_) {
-    std::size_t& left = openings[waiter->tenant.value_or(core::TenantName())];
-    if (left == 0) {
+    const core::TenantName tenant = waiter->tenant.value_or(core::TenantName());
+    std::size_t& left = openings[tenant];
+    if (left > 0) {
+      --left;
+      continue;
+    }
+    if (should_open_for(*waiter, before[tenant], coming_back(tenant))) {
       return waiter;
     }
-    --left;
+    ++before[tenant];
+    counters_.waited_instead += waiter->counted_as_waiting ? 0 : 1;
+    waiter->counted_as_waiting = true;
+    check_openings_later();
   }
   return nullptr;
 }
 
+bool BackendPool::should_open_for(const PoolWaiter& waiter, std::size_t waiting_before,
+                                  std::size_t coming_back) const {
+  if (!waiter.tenant || waiter.tenant->empty()) {
+    return true;
+  }
+  const auto opening = opening_for_.find(*waiter.tenant);
+  OpeningInputs inputs;
+  inputs.waiting_before = waiting_before;
+  inputs.coming_back = coming_back;
+  inputs.opening = opening == opening_for_.end() ? 0 : opening->second;
+  inputs.closes_another = held() >= share_.most;
+  inputs.usual_statement = usual_latency_;
+  inputs.usual_opening = usual_opening_;
+  return should_open(inputs);
+}
+
+std::size_t BackendPool::coming_back(const core::TenantName& tenant) const {
+  const core::Instant now = core::BootClock::now();
+  const auto count = std::count_if(in_use_.begin(), in_use_.end(), [&](const PooledConnection* connection) {
+    return connection->tenant == tenant && !connection->in_transaction &&
+           !is_overdue(now, connection->in_use_since, usual_latency_);
+  });
+  return static_cast<std::size_t>(count);
+}
+
+void BackendPool::check_openings_later() {
+  if (openings_check_set_) {
+    return;
+  }
+  openings_check_set_ = true;
+  openings_check_.expires_after(usual_opening_);
+  openings_check_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+    const auto self = weak.lock();
+    if (!self || error) {
+      return;
+    }
+    self->openings_check_set_ = false;
+    self->open_when_needed();
+  });
+}
+
 bool BackendPool::make_room() {
   if (held() < share_.most) {
     return true;
@@ -281,7 +341,7 @@
       break;
     }
     waiter->connection = idle_.take(waiter->tenant, waiter->session);
-    in_use_.insert(waiter->connection.get());
+    note_in_use(*waiter->connection);
     waiter->timer.cancel();
   }
   open_when_needed();
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -44,9 +45,11 @@
 /// What a pool counts since its start.
 struct PoolCounters {
   std::uint64_t opened = 0;
+  std::uint64_t opened_for_want = 0;  ///< Openings begun for statements that waited.
   std::uint64_t open_failed = 0;
-  std::uint64_t given_back = 0;  ///< Borrowed connections that were closed because they were idle.
-  std::uint64_t made_room = 0;   ///< Idle connections that were closed for another tenant's.
+  std::uint64_t given_back = 0;      ///< Borrowed connections that were closed because they were idle.
+  std::uint64_t made_room = 0;       ///< Idle connections that were closed for another tenant's.
+  std::uint64_t waited_instead = 0;  ///< Statements that were to wait for their tenant's connections in use.
   std::uint64_t broke = 0;
   std::uint64_t waited_in_vain = 0;
   std::uint64_t probes = 0;
@@ -110,8 +113,15 @@
  private:
   friend class ConnectionLease;
 
-  /// The first that waits and for which no connection is being opened; null: none.
-  [[nodiscard]] std::shared_ptr<PoolWaiter> next_without_opening() const;
+  void note_in_use(PooledConnection& connection);
+  /// The first that waits and for which a connection should be opened; null: none.
+  [[nodiscard]] std::shared_ptr<PoolWaiter> next_to_open_for();
+  [[nodiscard]] bool should_open_for(const PoolWaiter& waiter, std::size_t waiting_before,
+                                     std::size_t coming_back) const;
+  /// The tenant's connections that run a statement outside a transaction and are not overdue.
+  [[nodiscard]] std::size_t coming_back(const core::TenantName& tenant) const;
+  /// Looks again after the time of an opening: connections that were to come back may be overdue.
+  void check_openings_later();
   /// False when all connections that may be held are in use.
   bool make_room();
   void open_when_needed();
@@ -146,6 +156,8 @@
   std::map<core::TenantName, std::size_t> opening_for_;  ///< Of them, by tenant.
   bool last_open_failed_ = false;
   core::Instant next_open_{};
+  boost::asio::steady_timer openings_check_;
+  bool openings_check_set_ = false;
   core::Instant next_warm_up_{};
   core::Duration borrowed_idle_limit_;  ///< A borrowed connection that is idle for this long is closed.
   IdleConnections idle_;
--- a/src/pooling/connection_lease.cpp
+++ b/src/pooling/connection_lease.cpp
@@ -21,7 +21,7 @@
 ConnectionLease::ConnectionLease(std::shared_ptr<BackendPool> pool,
                                  std::unique_ptr<PooledConnection> connection)
     : pool_(std::move(pool)), connection_(std::move(connection)) {
-  pool_->in_use_.insert(connection_.get());
+  pool_->note_in_use(*connection_);
 }
 
 ConnectionLease::~ConnectionLease() {
@@ -51,6 +51,7 @@
     return;
   }
   in_transaction_ = in_transaction;
+  connection_->in_transaction = in_transaction;
   if (in_transaction) {
     ++pool_->transactions_;
     pool_->serve_waiters();
@@ -87,6 +88,7 @@
   const Statement& asked = batch.back().statement;
   const bool reads_alone = !in_transaction_ && !writes(asked);
   connection_->expendable = reads_alone;
+  connection_->in_transaction = in_transaction_ || begins_transaction(asked);
   const core::Instant sent = core::BootClock::now();
   BackendHealth& health = pool_->health_;
   const BatchNumber number = health.on_sent(sent, writes(asked));
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -55,6 +55,11 @@
     registry.counter("pipitpond_pooling_backend_" + name, help, labels).increment(number(value));
   };
   counter("opened_total", "Connections opened.", pool.counters().opened);
+  counter("opened_for_want_total", "Openings begun for statements that waited.",
+          pool.counters().opened_for_want);
+  counter("waited_instead_total",
+          "Statements that waited for their tenant's connections in use although more could be opened.",
+          pool.counters().waited_instead);
   counter("made_room_total", "Idle connections closed for another tenant's.", pool.counters().made_room);
   counter("open_failed_total", "Connections that could not be opened.", pool.counters().open_failed);
   counter("broke_total", "Batches that got no answer.", pool.counters().broke);
--- /dev/null
+++ b/src/pooling/opening_choice.cpp
@@ -0,0 +1,38 @@
+#include "pooling/opening_choice.hpp"
+
+#include <cstdint>
+
+namespace pipitpond::pooling {
+namespace {
+
+/// An opening counts so many times: the statement waits for its end, and statements of others wait for the
+/// slot that it takes.
+constexpr int kOpeningWeight = 2;
+/// Where it closes another tenant's connection, which is then opened again: two openings.
+constexpr int kReplacingWeight = 2 * kOpeningWeight;
+/// A statement is overdue after this many times the usual time: as for hindered answers in ConcurrencyLimit.
+constexpr int kOverdueFactor = 3;
+
+}  // namespace
+
+core::Duration expected_wait_for_return(const OpeningInputs& inputs) {
+  const std::size_t connections = inputs.coming_back + inputs.opening;
+  if (connections == 0) {
+    return core::Duration::max();
+  }
+  const auto ahead = static_cast<std::int64_t>(inputs.waiting_before) + 1;
+  const core::Duration uses = inputs.usual_statement * ahead / static_cast<std::int64_t>(connections);
+  const core::Duration until_first = inputs.coming_back == 0 ? inputs.usual_opening : core::Duration::zero();
+  return until_first + uses;
+}
+
+bool should_open(const OpeningInputs& inputs) {
+  const int weight = inputs.closes_another ? kReplacingWeight : kOpeningWeight;
+  return expected_wait_for_return(inputs) > inputs.usual_opening * weight;
+}
+
+bool is_overdue(core::Instant now, core::Instant since, core::Duration usual_statement) {
+  return now - since > usual_statement * kOverdueFactor;
+}
+
+}  // namespace pipitpond::pooling
--- a/src/pooling/pooled_connection.hpp
+++ b/src/pooling/pooled_connection.hpp
@@ -18,6 +18,9 @@
   /// A read under way on it may be run elsewhere: it is cut off when the database is found unreachable.
   bool expendable = false;
   core::Instant idle_since{};
+  core::Instant in_use_since{};
+  /// In use by a transaction, or by a statement that begins one: nobody knows when it will be free.
+  bool in_transaction = false;
 };
 
 }  // namespace pipitpond::pooling
--- a/tests/pooling/backend_pool_test.cpp
+++ b/tests/pooling/backend_pool_test.cpp
@@ -224,6 +224,35 @@
   EXPECT_TRUE(waits->value->has_value()) << "the idle connection of t2 made room";
 }
 
+TEST_F(BackendPoolTest, AStatementWaitsForItsTenantsConnectionThatIsInUse) {
+  auto first = acquire(request_of("t1"));
+  const auto waits = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request_of("t1")));
+  pipitpond::testing::run_until(io_, [this] { return pool_->waiting() == 1; });
+  { const ConnectionLease given_back = std::move(first.value()); }
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return waits->done(); }));
+  EXPECT_TRUE(waits->value->has_value());
+  EXPECT_EQ(connector_.database("a").connections_opened, 1);
+  EXPECT_EQ(pool_->counters().waited_instead, 1U);
+}
+
+TEST_F(BackendPoolTest, AStatementDoesNotWaitForATransactionOfItsTenant) {
+  auto resting = acquire(request_of("t1"));
+  Statement begin;
+  begin.kind = StatementKind::kBegin;
+  ASSERT_TRUE(pipitpond::testing::run(io_, resting.value().run_own(begin, milliseconds(100))).has_value());
+  EXPECT_TRUE(acquire(request_of("t1")).has_value());
+  EXPECT_EQ(connector_.database("a").connections_opened, 2);
+  EXPECT_EQ(pool_->counters().waited_instead, 0U);
+}
+
+TEST_F(BackendPoolTest, AStatementDoesNotWaitLongForAConnectionThatIsOverdue) {
+  const auto overdue = acquire(request_of("t1"));
+  const core::Instant before = core::BootClock::now();
+  EXPECT_TRUE(acquire(request_of("t1", 5000)).has_value());
+  EXPECT_LT(core::BootClock::now() - before, milliseconds(2000));
+  EXPECT_EQ(connector_.database("a").connections_opened, 2);
+}
+
 TEST_F(BackendPoolTest, StatementsOfManyTenantsNeverMeetOnOneConnection) {
   std::vector<std::shared_ptr<pipitpond::testing::Pending<core::Result<ConnectionLease>>>> pending;
   for (int round = 0; round < 40; ++round) {
--- /dev/null
+++ b/tests/pooling/opening_choice_test.cpp
@@ -0,0 +1,298 @@
+#include "pooling/opening_choice.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace pipitpond::pooling {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(OpeningChoiceTest, OpensAtOnceWhenNoConnectionComesBack) {
+  EXPECT_TRUE(should_open({0, 0, 0, false, milliseconds(9), milliseconds(12)}));
+}
+
+TEST(OpeningChoiceTest, WaitsForAConnectionThatIsBackSoonerThanTwoOpeningsTake) {
+  EXPECT_FALSE(should_open({0, 1, 0, false, milliseconds(9), milliseconds(12)}));
+  EXPECT_FALSE(should_open({1, 1, 0, false, milliseconds(9), milliseconds(12)}));
+  EXPECT_TRUE(should_open({2, 1, 0, false, milliseconds(9), milliseconds(12)}));
+  EXPECT_FALSE(should_open({2, 2, 0, false, milliseconds(9), milliseconds(12)}));
+  EXPECT_TRUE(should_open({0, 1, 0, false, milliseconds(25), milliseconds(12)})) << "statements are slow";
+}
+
+TEST(OpeningChoiceTest, WaitsForTheSecondUseOfAConnectionThatIsBeingOpened) {
+  EXPECT_FALSE(should_open({0, 0, 1, false, milliseconds(9), milliseconds(12)})) << "12 + 9 ms";
+  EXPECT_TRUE(should_open({1, 0, 1, false, milliseconds(9), milliseconds(12)})) << "12 + 18 ms";
+}
+
+TEST(OpeningChoiceTest, WaitsLongerWhereAnotherTenantLosesItsConnection) {
+  EXPECT_FALSE(should_open({4, 1, 0, true, milliseconds(9), milliseconds(12)})) << "45 ms";
+  EXPECT_TRUE(should_open({5, 1, 0, true, milliseconds(9), milliseconds(12)})) << "54 ms";
+}
+
+TEST(OpeningChoiceTest, AStatementThatTakesMuchLongerThanUsualIsNotCountedOn) {
+  const core::Instant since{};
+  EXPECT_FALSE(is_overdue(since + milliseconds(27), since, milliseconds(9)));
+  EXPECT_TRUE(is_overdue(since + milliseconds(28), since, milliseconds(9)));
+}
+
+// --- A load
+
+constexpr int kSlots = 4;
+constexpr std::size_t kMostConnections = 14;
+constexpr int kTenants = 12;
+constexpr core::Duration kStatement = milliseconds(9);
+constexpr core::Duration kOpening = milliseconds(12);
+constexpr int kLatencyWeight = 8;  ///< Of the newest in averages, one part in so many.
+
+enum class Policy { kOpenForEachWaiter, kNeverWhileOneIsInUse, kChoice };
+
+struct Outcome {
+  std::size_t openings = 0;
+  std::vector<core::Duration> latencies;  ///< Sorted.
+
+  [[nodiscard]] core::Duration quantile(double part) const {
+    return latencies.at(static_cast<std::size_t>(part * static_cast<double>(latencies.size() - 1)));
+  }
+  [[nodiscard]] core::Duration mean() const {
+    core::Duration sum{};
+    for (const core::Duration latency : latencies) {
+      sum += latency;
+    }
+    return sum / static_cast<std::int64_t>(latencies.size());
+  }
+};
+
+/// One owner of a database and the database's slots, played without a network.
+class Play {
+ public:
+  explicit Play(Policy policy) : policy_(policy) {}
+
+  void arrive_at(core::Instant at, int tenant) {
+    at_time(at, [this, tenant] {
+      waiting_.push_back({tenant, now_});
+      serve();
+    });
+  }
+
+  Outcome run() {
+    while (!events_.empty()) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.act();
+    }
+    std::sort(outcome_.latencies.begin(), outcome_.latencies.end());
+    return outcome_;
+  }
+
+ private:
+  struct Event {
+    core::Instant at;
+    std::uint64_t number = 0;
+    std::function<void()> act;
+
+    bool operator>(const Event& other) const {
+      return std::pair(at, number) > std::pair(other.at, other.number);
+    }
+  };
+  struct Waiting {
+    int tenant = 0;
+    core::Instant arrived;
+  };
+  struct Job {
+    core::Duration length;
+    std::function<void()> done;
+  };
+
+  void at_time(core::Instant at, std::function<void()> act) {
+    events_.push({at, ++events_made_, std::move(act)});
+  }
+
+  /// A job of the database: it runs when a slot is free.
+  void submit(Job job) {
+    jobs_.push_back(std::move(job));
+    start_jobs();
+  }
+
+  void start_jobs() {
+    while (busy_slots_ < kSlots && !jobs_.empty()) {
+      Job job = std::move(jobs_.front());
+      jobs_.pop_front();
+      ++busy_slots_;
+      at_time(now_ + job.length, [this, done = std::move(job.done)] {
+        --busy_slots_;
+        done();
+        start_jobs();
+      });
+    }
+  }
+
+  void serve() {
+    for (auto waiter = waiting_.begin(); waiter != waiting_.end();) {
+      const auto idle = std::find(idle_.rbegin(), idle_.rend(), waiter->tenant);
+      if (idle == idle_.rend()) {
+        ++waiter;
+        continue;
+      }
+      idle_.erase(std::prev(idle.base()));
+      run_statement(*waiter);
+      waiter = waiting_.erase(waiter);
+    }
+    open_where_wanted();
+  }
+
+  void run_statement(Waiting waiter) {
+    ++in_use_[waiter.tenant];
+    submit({kStatement, [this, waiter, sent = now_] {
+              usual_statement_ += (now_ - sent - usual_statement_) / kLatencyWeight;
+              outcome_.latencies.push_back(now_ - waiter.arrived);
+              --in_use_[waiter.tenant];
+              idle_.push_back(waiter.tenant);
+              serve();
+            }});
+  }
+
+  void open_where_wanted() {
+    std::map<int, std::size_t> openings = opening_;
+    std::map<int, std::size_t> before;
+    for (const Waiting& waiter : waiting_) {
+      if (openings[waiter.tenant] > 0) {
+        --openings[waiter.tenant];
+        continue;
+      }
+      if (wants_opening(waiter.tenant, before[waiter.tenant]) && make_room()) {
+        open(waiter.tenant);
+      } else {
+        ++before[waiter.tenant];
+      }
+    }
+  }
+
+  bool wants_opening(int tenant, std::size_t waiting_before) {
+    switch (policy_) {
+      case Policy::kOpenForEachWaiter:
+        return true;
+      case Policy::kNeverWhileOneIsInUse:
+        return in_use_[tenant] + opening_[tenant] == 0;
+      case Policy::kChoice:
+        return should_open({waiting_before, in_use_[tenant], opening_[tenant], held() >= kMostConnections,
+                            usual_statement_, usual_opening_});
+    }
+    return false;
+  }
+
+  std::size_t held() {
+    std::size_t count = idle_.size();
+    for (int tenant = 0; tenant < kTenants; ++tenant) {
+      count += in_use_[tenant] + opening_[tenant];
+    }
+    return count;
+  }
+
+  bool make_room() {
+    if (held() < kMostConnections) {
+      return true;
+    }
+    if (idle_.empty()) {
+      return false;
+    }
+    idle_.pop_front();
+    return true;
+  }
+
+  void open(int tenant) {
+    ++opening_[tenant];
+    ++outcome_.openings;
+    submit({kOpening, [this, tenant, begun = now_] {
+              usual_opening_ += (now_ - begun - usual_opening_) / kLatencyWeight;
+              --opening_[tenant];
+              idle_.push_back(tenant);
+              serve();
+            }});
+  }
+
+  Policy policy_;
+  core::Instant now_{};
+  std::uint64_t events_made_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::deque<Waiting> waiting_;
+  std::deque<int> idle_;  ///< Tenants of idle connections; the one used last is at the back.
+  std::map<int, std::size_t> in_use_;
+  std::map<int, std::size_t> opening_;
+  std::deque<Job> jobs_;
+  int busy_slots_ = 0;
+  core::Duration usual_statement_ = kStatement;  ///< As the pool measures it: the wait for a slot included.
+  core::Duration usual_opening_ = kOpening;
+  Outcome outcome_;
+};
+
+/// Twenty seconds of bursts of 1 to `largest` statements, each of one tenant, 2 ms apart.
+Outcome play_bursts(Policy policy, std::uint32_t seed, int bursts_per_second, int largest) {
+  constexpr int kSeconds = 5;
+  std::mt19937 random(seed);
+  std::uniform_int_distribution<int> start(0, kSeconds * 1000);
+  std::uniform_int_distribution<int> tenant(0, kTenants - 1);
+  std::uniform_int_distribution<int> size(1, largest);
+  Play play(policy);
+  for (int burst = 0; burst < bursts_per_second * kSeconds; ++burst) {
+    const core::Instant begins = core::Instant{} + milliseconds(start(random));
+    const int whose = tenant(random);
+    const int statements = size(random);
+    for (int number = 0; number < statements; ++number) {
+      play.arrive_at(begins + milliseconds(2 * number), whose);
+    }
+  }
+  return play.run();
+}
+
+Outcome play_seeds(Policy policy, int bursts_per_second, int largest) {
+  constexpr std::uint32_t kSeeds = 20;
+  Outcome all;
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    const Outcome one = play_bursts(policy, seed, bursts_per_second, largest);
+    all.openings += one.openings;
+    all.latencies.insert(all.latencies.end(), one.latencies.begin(), one.latencies.end());
+  }
+  std::sort(all.latencies.begin(), all.latencies.end());
+  return all;
+}
+
+TEST(OpeningChoiceLoadTest, OpensLessThanForEachWaiterAndAnswersSooner) {
+  for (const int largest : {3, 6, 12}) {
+    const Outcome each = play_seeds(Policy::kOpenForEachWaiter, 20, largest);
+    const Outcome choice = play_seeds(Policy::kChoice, 20, largest);
+    EXPECT_LT(choice.openings * 3, each.openings) << "bursts of up to " << largest;
+    EXPECT_LT(choice.mean(), each.mean()) << "bursts of up to " << largest;
+    EXPECT_LE(choice.quantile(0.99), each.quantile(0.99)) << "bursts of up to " << largest;
+  }
+}
+
+TEST(OpeningChoiceLoadTest, AnswersSoonerThanOneConnectionForEachTenant) {
+  for (const int largest : {3, 6, 12}) {
+    const Outcome never = play_seeds(Policy::kNeverWhileOneIsInUse, 20, largest);
+    const Outcome choice = play_seeds(Policy::kChoice, 20, largest);
+    EXPECT_LT(choice.mean(), never.mean()) << "bursts of up to " << largest;
+    EXPECT_LT(choice.quantile(0.99), never.quantile(0.99)) << "bursts of up to " << largest;
+  }
+}
+
+TEST(OpeningChoiceLoadTest, SlotsThatAreNearlyFullGoToStatements) {
+  const Outcome each = play_seeds(Policy::kOpenForEachWaiter, 60, 6);
+  const Outcome choice = play_seeds(Policy::kChoice, 60, 6);
+  EXPECT_LT(choice.openings * 3, each.openings);
+  EXPECT_LT(choice.mean() * 2, each.mean());
+  EXPECT_LT(choice.quantile(0.99) * 3 / 2, each.quantile(0.99));
+}
+
+}  // namespace
+}  // namespace pipitpond::pooling
