Pool: a bounded line, fair between tenants by slot time

Cause: the line of a pool was a list by priority and arrival without a bound, so that one tenant's flood went before everybody who came later. Change: statement_line orders by who can still be in time, priority, start-time fair queueing between tenants (equal weights; openings and statements count for the slot time that they took), arrival. At most 100 wait for each slot; a full line loses the one that goes last, which is told at once and logged. Without tenants the order is as before. Not done: refusing on arrival by the expected wait. A session that is refused asks the same primary again after a constant 10 ms (kBusyPause), so that it would send some hundred requests in the time in which it now sends one; the pause has to grow first.

--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "logging/logging.hpp"
 #include "pooling/opening_choice.hpp"
 #include "pooling/waiting.hpp"
 
@@ -32,6 +33,11 @@
 /// How much longer it may stay after an opening that was not refused.
 constexpr core::Duration kBorrowedIdleStep = std::chrono::milliseconds(10);
 
+core::Error line_full_error() {
+  return core::Error{core::ErrorKind::kNoCapacity, "Too many wait for a connection to the database.",
+                     "Try again a little later.", 100};
+}
+
 core::Error closed_error() {
   return core::Error{core::ErrorKind::kLeaving, "The database is no longer served.", "Choose another one.",
                      0};
@@ -43,7 +49,7 @@
 struct PoolWaiter {
   explicit PoolWaiter(boost::asio::io_context& io) : timer(io) {}
 
-  std::uint32_t priority = 0;
+  WaiterNumber number = 0;
   core::Instant goal;
   const SessionState* session = nullptr;
   std::optional<core::TenantName> tenant;
@@ -89,8 +95,10 @@
   if (request.tenant) {
     pool->demand_.note_use(core::BootClock::now(), *request.tenant);
   }
-  if (pool->waiters_.empty() && pool->may_run_another()) {
+  if (pool->line_.empty() && pool->may_run_another()) {
     if (auto idle = pool->idle_.take(request.tenant, request.session)) {
+      pool->line_.note_started(request.tenant, pool->usual_latency_);
+      idle->charged = pool->usual_latency_;
       co_return ConnectionLease(pool, std::move(idle));
     }
   }
@@ -98,15 +106,7 @@
     co_return core::fail(core::ErrorKind::kConnectionRefused, "The database can't be reached.",
                          "Choose another one, or try again.");
   }
-  const auto waiter = std::make_shared<PoolWaiter>(pool->io_);
-  waiter->priority = request.priority;
-  waiter->goal = request.goal;
-  waiter->session = request.session;
-  waiter->tenant = request.tenant;
-  const auto place = std::find_if(
-      pool->waiters_.begin(), pool->waiters_.end(),
-      [&](const std::shared_ptr<PoolWaiter>& other) { return other->priority > request.priority; });
-  pool->waiters_.insert(place, waiter);
+  const std::shared_ptr<PoolWaiter> waiter = pool->join_line(request);
   pool->serve_waiters();  // Those before it may wait for connections of other tenants.
   if (!waiter->connection && !waiter->error) {
     waiter->timer.expires_after(std::max(core::Duration::zero(), request.deadline - core::BootClock::now()));
@@ -116,7 +116,8 @@
   if (waiter->connection) {
     co_return ConnectionLease(pool, std::move(waiter->connection));
   }
-  std::erase(pool->waiters_, waiter);
+  pool->line_.remove(waiter->number);
+  pool->waiters_.erase(waiter->number);
   if (waiter->error) {
     co_return *waiter->error;
   }
@@ -125,6 +126,44 @@
                        "Try again a little later.", 100);
 }
 
+std::shared_ptr<PoolWaiter> BackendPool::join_line(const ConnectionRequest& request) {
+  const auto waiter = std::make_shared<PoolWaiter>(io_);
+  waiter->number = ++last_waiter_;
+  waiter->goal = request.goal;
+  waiter->session = request.session;
+  waiter->tenant = request.tenant;
+  waiters_.emplace(waiter->number, waiter);
+  const LineEntry entry{waiter->number, request.priority, request.goal, request.tenant};
+  const std::size_t most = slots_ * kMostWaitingForEachSlot;
+  const JoinOutcome outcome = line_.join(core::BootClock::now(), entry, most, usual_latency_);
+  if (!outcome.joined) {
+    ++counters_.line_full;
+    refuse_waiter(waiter->number, entry, "line_full");
+  }
+  if (outcome.displaced) {
+    ++counters_.displaced;
+    refuse_waiter(*outcome.displaced, entry, "displaced");
+  }
+  return waiter;
+}
+
+void BackendPool::refuse_waiter(WaiterNumber number, const LineEntry& newest, const char* reason) {
+  logging::logger("pool")->info(
+      "event=line_refusal database={} reason={} waiting={} newest_priority={} slots={} usual_us={}",
+      logging::field(address_.database.value()), reason, line_.size(), newest.priority, slots_,
+      usual_latency_.count());
+  const auto found = waiters_.find(number);
+  found->second->error = line_full_error();
+  found->second->timer.cancel();
+  waiters_.erase(found);
+}
+
+/// Of what a statement's start was charged, the rest; a transaction's later statements are charged whole.
+void BackendPool::note_slot_time(PooledConnection& connection, core::Duration taken) {
+  const core::Duration charged = std::exchange(connection.charged, core::Duration::zero());
+  line_.note_used(connection.tenant, taken - charged);
+}
+
 awaitable<core::Result<BackendStatus>> BackendPool::ask_status(std::shared_ptr<BackendPool> pool,
                                                                core::Duration timeout) {
   const core::Instant deadline = core::BootClock::now() + timeout;
@@ -158,7 +197,8 @@
 std::shared_ptr<PoolWaiter> BackendPool::next_to_open_for() {
   std::map<core::TenantName, std::size_t> openings = opening_for_;
   std::map<core::TenantName, std::size_t> before;
-  for (const std::shared_ptr<PoolWaiter>& waiter : waiters_) {
+  for (const LineEntry& entry : line_.in_order(core::BootClock::now(), usual_latency_)) {
+    const std::shared_ptr<PoolWaiter>& waiter = waiters_.at(entry.number);
     const core::TenantName tenant = waiter->tenant.value_or(core::TenantName());
     std::size_t& left = openings[tenant];
     if (left > 0) {
@@ -271,6 +311,7 @@
     co_return;
   }
   ++self->counters_.opened;
+  self->line_.note_used(tenant, now - begun);
   self->usual_opening_ += (now - begun - self->usual_opening_) / kLatencyWeight;
   self->borrowed_idle_limit_ = std::min(kBorrowedIdleMax, self->borrowed_idle_limit_ + kBorrowedIdleStep);
   self->health_.on_connected(now);
@@ -299,20 +340,17 @@
   borrowed_idle_limit_ = std::max(kBorrowedIdleMin, borrowed_idle_limit_ / 2);
 }
 
-/// The first that can still be answered in time, or else the first.
 std::shared_ptr<PoolWaiter> BackendPool::take_next_waiter() {
-  const core::Instant answered = core::BootClock::now() + usual_latency_;
-  const auto servable = [this](const auto& waiter) { return idle_.has_for(waiter->tenant); };
-  auto next = std::find_if(waiters_.begin(), waiters_.end(),
-                           [&](const auto& waiter) { return answered <= waiter->goal && servable(waiter); });
-  if (next == waiters_.end()) {
-    next = std::find_if(waiters_.begin(), waiters_.end(), servable);
-  }
-  if (next == waiters_.end()) {
+  const core::Instant now = core::BootClock::now();
+  const auto servable = [this](const LineEntry& entry) { return idle_.has_for(entry.tenant); };
+  const std::optional<WaiterNumber> next = line_.take_next(now, usual_latency_, servable);
+  if (!next) {
     return nullptr;
   }
-  std::shared_ptr<PoolWaiter> waiter = *next;
-  waiters_.erase(next);
+  const auto found = waiters_.find(*next);
+  std::shared_ptr<PoolWaiter> waiter = std::move(found->second);
+  waiters_.erase(found);
+  counters_.late_in_line += now + usual_latency_ > waiter->goal ? 1 : 0;
   return waiter;
 }
 
@@ -335,12 +373,13 @@
 
 void BackendPool::serve_waiters() {
   idle_.drop_closed();
-  while (!waiters_.empty() && in_use_.size() - transactions_ < concurrency_.limit()) {
+  while (!line_.empty() && in_use_.size() - transactions_ < concurrency_.limit()) {
     const std::shared_ptr<PoolWaiter> waiter = take_next_waiter();
     if (!waiter) {
       break;
     }
     waiter->connection = idle_.take(waiter->tenant, waiter->session);
+    waiter->connection->charged = usual_latency_;
     note_in_use(*waiter->connection);
     waiter->timer.cancel();
   }
@@ -357,14 +396,15 @@
 
 void BackendPool::fail_waiters(const core::Error& error) {
   const auto waiters = std::exchange(waiters_, {});
-  for (const std::shared_ptr<PoolWaiter>& waiter : waiters) {
+  line_.clear();
+  for (const auto& [number, waiter] : waiters) {
     waiter->error = error;
     waiter->timer.cancel();
   }
 }
 
 core::Duration BackendPool::expected_wait() const {
-  const auto before = static_cast<std::int64_t>(in_use_.size() + waiters_.size());
+  const auto before = static_cast<std::int64_t>(in_use_.size() + line_.size());
   const core::Duration opening = idle_.empty() ? usual_opening_ : core::Duration::zero();
   return opening + usual_latency_ + usual_latency_ * before / std::max<std::int64_t>(slots_, 1);
 }
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -6,7 +6,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,6 +23,7 @@
 #include "pooling/pooled_connection.hpp"
 #include "pooling/replica_reach.hpp"
 #include "pooling/session_state.hpp"
+#include "pooling/statement_line.hpp"
 #include "pooling/tenant_demand.hpp"
 
 namespace pipitpond::pooling {
@@ -52,6 +52,9 @@
   std::uint64_t waited_instead = 0;  ///< Statements that were to wait for their tenant's connections in use.
   std::uint64_t broke = 0;
   std::uint64_t waited_in_vain = 0;
+  std::uint64_t displaced = 0;     ///< Statements that left a full line to more urgent ones.
+  std::uint64_t line_full = 0;     ///< Statements that found a full line of those that go before them.
+  std::uint64_t late_in_line = 0;  ///< Statements that got a connection too late for their goal.
   std::uint64_t probes = 0;
 };
 
@@ -100,7 +103,7 @@
     return health_.usable() && (connected || !last_open_failed_);
   }
   [[nodiscard]] std::size_t in_use() const { return in_use_.size(); }
-  [[nodiscard]] std::size_t waiting() const { return waiters_.size(); }
+  [[nodiscard]] std::size_t waiting() const { return line_.size(); }
   /// What the next request has to expect: time of a usual statement, and of those before it.
   [[nodiscard]] core::Duration expected_wait() const;
   /// A statement took this long.
@@ -113,6 +116,10 @@
  private:
   friend class ConnectionLease;
 
+  /// Puts one in the line; one that has no place there has its error set.
+  std::shared_ptr<PoolWaiter> join_line(const ConnectionRequest& request);
+  void refuse_waiter(WaiterNumber number, const LineEntry& newest, const char* reason);
+  void note_slot_time(PooledConnection& connection, core::Duration taken);
   void note_in_use(PooledConnection& connection);
   /// The first that waits and for which a connection should be opened; null: none.
   [[nodiscard]] std::shared_ptr<PoolWaiter> next_to_open_for();
@@ -162,7 +169,9 @@
   core::Duration borrowed_idle_limit_;  ///< A borrowed connection that is idle for this long is closed.
   IdleConnections idle_;
   std::set<PooledConnection*> in_use_;
-  std::list<std::shared_ptr<PoolWaiter>> waiters_;  ///< By priority, then order of arrival.
+  StatementLine line_;
+  std::map<WaiterNumber, std::shared_ptr<PoolWaiter>> waiters_;  ///< Those in the line.
+  WaiterNumber last_waiter_ = 0;
   core::Duration usual_latency_;
   bool latency_noted_ = false;  ///< Since the last tick.
   core::Duration usual_opening_;
--- a/src/pooling/connection_lease.cpp
+++ b/src/pooling/connection_lease.cpp
@@ -103,6 +103,7 @@
   }
   health.on_answered(now, number);
   pool_->note_latency(now - sent);
+  pool_->note_slot_time(*connection_, now - sent);
   for (std::size_t before = 0; before + 1 < replies.value().size(); ++before) {
     if (replies.value()[before].failure) {
       connection_->link->close();
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -63,6 +63,12 @@
   counter("made_room_total", "Idle connections closed for another tenant's.", pool.counters().made_room);
   counter("open_failed_total", "Connections that could not be opened.", pool.counters().open_failed);
   counter("broke_total", "Batches that got no answer.", pool.counters().broke);
+  counter("displaced_total", "Statements that left a full line to more urgent ones.",
+          pool.counters().displaced);
+  counter("line_full_total", "Statements that found a full line of those that go before them.",
+          pool.counters().line_full);
+  counter("late_in_line_total", "Statements that got a connection too late for their goal.",
+          pool.counters().late_in_line);
   counter("probes_total", "Probes sent in doubt.", pool.counters().probes);
 }
 
--- a/src/pooling/pooled_connection.hpp
+++ b/src/pooling/pooled_connection.hpp
@@ -19,6 +19,7 @@
   bool expendable = false;
   core::Instant idle_since{};
   core::Instant in_use_since{};
+  core::Duration charged{};  ///< Slot time that its tenant was charged when it was handed out.
   /// In use by a transaction, or by a statement that begins one: nobody knows when it will be free.
   bool in_transaction = false;
 };
--- a/tests/pooling/backend_pool_test.cpp
+++ b/tests/pooling/backend_pool_test.cpp
@@ -166,6 +166,33 @@
   ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return late->done(); }));
 }
 
+TEST_F(BackendPoolTest, AFullLineLosesItsLeastUrgentOneAtOnce) {
+  pool_->set_share(ConnectionShare{1, 1, std::chrono::hours(1), 1, 1});
+  auto first = acquire();
+  const auto cheap = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request(20'000, 2)));
+  std::vector<std::shared_ptr<pipitpond::testing::Pending<core::Result<ConnectionLease>>>> others;
+  for (std::size_t number = 1; number < kMostWaitingForEachSlot; ++number) {
+    others.push_back(pipitpond::testing::start(io_, BackendPool::acquire(pool_, request(20'000, 1))));
+  }
+  pipitpond::testing::run_until(io_, [this] { return pool_->waiting() == kMostWaitingForEachSlot; });
+  EXPECT_FALSE(cheap->done());
+  const auto urgent = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request(20'000, 0)));
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return cheap->done(); }));
+  ASSERT_FALSE(cheap->value->has_value());
+  EXPECT_EQ(cheap->value->error().kind, core::ErrorKind::kNoCapacity);
+  EXPECT_EQ(pool_->counters().displaced, 1U);
+  const auto last = acquire(request(20'000, 2));
+  ASSERT_FALSE(last);
+  EXPECT_EQ(last.error().kind, core::ErrorKind::kNoCapacity);
+  EXPECT_EQ(pool_->counters().line_full, 1U);
+  EXPECT_EQ(pool_->waiting(), kMostWaitingForEachSlot);
+  { const ConnectionLease given_back = std::move(first.value()); }
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return urgent->done(); }));
+  EXPECT_TRUE(urgent->value->has_value());
+  pool_->close();
+  pipitpond::testing::run_until(io_, [&] { return others.back()->done(); });
+}
+
 TEST_F(BackendPoolTest, ADatabaseThatRefusesFailsThoseThatWaitAtOnce) {
   connector_.database("a").refuses_connections = true;
   const core::Instant before = core::BootClock::now();
--- /dev/null
+++ b/tests/pooling/statement_line_test.cpp
@@ -0,0 +1,255 @@
+#include "pooling/statement_line.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pipitpond::pooling {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr core::Duration kUsual = milliseconds(9);
+constexpr std::size_t kMost = 100;
+
+bool anybody(const LineEntry&) {
+  return true;
+}
+
+LineEntry entry(WaiterNumber number, std::uint32_t priority = 1, const std::string& tenant = "") {
+  LineEntry made;
+  made.number = number;
+  made.priority = priority;
+  made.tenant = core::TenantName(tenant);
+  return made;
+}
+
+TEST(StatementLineTest, GoesByPriorityThenByArrival) {
+  StatementLine line;
+  const core::Instant now{};
+  line.join(now, entry(1, 2), kMost, kUsual);
+  line.join(now, entry(2, 1), kMost, kUsual);
+  line.join(now, entry(3, 1), kMost, kUsual);
+  EXPECT_EQ(line.in_order(now, kUsual).front().number, 2U);
+  EXPECT_EQ(line.in_order(now, kUsual).back().number, 1U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 2U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 3U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 1U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), std::nullopt);
+}
+
+TEST(StatementLineTest, WhoIsLateAnywayGoesLast) {
+  StatementLine line;
+  const core::Instant now{};
+  LineEntry late = entry(1, 0);
+  late.goal = now + milliseconds(5);
+  line.join(now, late, kMost, kUsual);
+  line.join(now, entry(2, 2), kMost, kUsual);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 2U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 1U);
+}
+
+TEST(StatementLineTest, PassesOverThoseWhoCannotBeServed) {
+  StatementLine line;
+  const core::Instant now{};
+  line.join(now, entry(1), kMost, kUsual);
+  line.join(now, entry(2), kMost, kUsual);
+  EXPECT_EQ(line.take_next(now, kUsual, [](const LineEntry& one) { return one.number == 2; }), 2U);
+  EXPECT_EQ(line.size(), 1U);
+}
+
+TEST(StatementLineTest, TenantsTakeTurns) {
+  StatementLine line;
+  const core::Instant now{};
+  for (const WaiterNumber number : {1U, 2U, 3U}) {
+    line.join(now, entry(number, 1, "a"), kMost, kUsual);
+  }
+  line.join(now, entry(4, 1, "b"), kMost, kUsual);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 1U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 4U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 2U);
+}
+
+TEST(StatementLineTest, SlowStatementsCountForTheTimeThatTheyTook) {
+  StatementLine line;
+  const core::Instant now{};
+  line.note_started(core::TenantName("slow"), kUsual);
+  line.note_started(core::TenantName("quick"), kUsual);
+  line.note_used(core::TenantName("slow"), milliseconds(100));
+  line.join(now, entry(1, 1, "slow"), kMost, kUsual);
+  line.join(now, entry(2, 1, "quick"), kMost, kUsual);
+  line.join(now, entry(3, 1, "quick"), kMost, kUsual);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 2U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 3U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 1U);
+}
+
+TEST(StatementLineTest, WhatATenantDidNotUseIsNotSavedUp) {
+  StatementLine line;
+  const core::Instant now{};
+  for (int started = 0; started < 100; ++started) {
+    line.note_started(core::TenantName("busy"), kUsual);
+  }
+  for (const WaiterNumber number : {1U, 2U, 3U}) {
+    line.join(now, entry(number, 1, "new"), kMost, kUsual);
+  }
+  line.join(now, entry(4, 1, "busy"), kMost, kUsual);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 1U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 2U);
+  EXPECT_EQ(line.take_next(now, kUsual, anybody), 4U);
+}
+
+TEST(StatementLineTest, AFullLineLosesTheOneThatGoesLast) {
+  StatementLine line;
+  const core::Instant now{};
+  line.join(now, entry(1, 1), 2, kUsual);
+  line.join(now, entry(2, 2), 2, kUsual);
+  const JoinOutcome urgent = line.join(now, entry(3, 0), 2, kUsual);
+  EXPECT_TRUE(urgent.joined);
+  EXPECT_EQ(urgent.displaced, 2U);
+  const JoinOutcome cheap = line.join(now, entry(4, 2), 2, kUsual);
+  EXPECT_FALSE(cheap.joined);
+  EXPECT_EQ(cheap.displaced, std::nullopt);
+  EXPECT_EQ(line.size(), 2U);
+}
+
+TEST(StatementLineTest, TenantsThatUsedNoMoreThanOthersAreForgotten) {
+  StatementLine line;
+  for (int number = 0; number < 1000; ++number) {
+    line.note_started(core::TenantName("t" + std::to_string(number)), kUsual);
+    line.note_started(core::TenantName("busy"), kUsual);
+  }
+  EXPECT_LE(line.tenants(), 3U);
+}
+
+// --- A load
+
+/// Who asks, and what came of it.
+struct Ask {
+  core::Instant at;
+  std::uint32_t priority = 0;
+  std::string tenant;
+  core::Duration goal{};
+  core::Duration latency = core::Duration::max();  ///< Stays so when it was displaced.
+
+  [[nodiscard]] bool in_time() const { return latency <= goal; }
+};
+
+/// Asks with a rate per second, for one second.
+void add_asks(std::vector<Ask>& asks, std::mt19937& random, int rate, const Ask& like) {
+  std::uniform_int_distribution<int> micros(0, 1'000'000);
+  for (int number = 0; number < rate; ++number) {
+    Ask ask = like;
+    ask.at = core::Instant{} + core::Duration(micros(random));
+    asks.push_back(ask);
+  }
+}
+
+/// Plays them on `slots`, of which `lost` are gone after half a second.
+void play(std::vector<Ask>& asks, std::mt19937& random, std::size_t slots, std::size_t lost = 0) {
+  std::sort(asks.begin(), asks.end(), [](const Ask& left, const Ask& right) { return left.at < right.at; });
+  std::uniform_int_distribution<int> micros(5'000, 13'000);
+  std::multimap<core::Instant, std::pair<std::string, core::Duration>> running;
+  StatementLine line;
+  std::size_t next = 0;
+  while (next < asks.size() || !running.empty()) {
+    const bool arrives = next < asks.size() && (running.empty() || asks[next].at <= running.begin()->first);
+    const core::Instant now = arrives ? asks[next].at : running.begin()->first;
+    if (arrives) {
+      LineEntry asked = entry(next, asks[next].priority, asks[next].tenant);
+      asked.goal = now + asks[next].goal;
+      line.join(now, asked, kMost, kUsual);
+      ++next;
+    } else {
+      const auto& [tenant, taken] = running.begin()->second;
+      line.note_used(core::TenantName(tenant), taken - kUsual);
+      running.erase(running.begin());
+    }
+    const bool later = now > core::Instant{} + milliseconds(500);
+    while (running.size() < slots - (later ? lost : 0)) {
+      const auto taken = line.take_next(now, kUsual, anybody);
+      if (!taken) {
+        break;
+      }
+      Ask& ask = asks.at(*taken);
+      const core::Duration work(micros(random));
+      ask.latency = now + work - ask.at;
+      running.emplace(now + work, std::pair(ask.tenant, work));
+    }
+  }
+}
+
+constexpr std::uint32_t kSeeds = 100;
+
+/// Part of the urgent ones (priority 0) that are in time; every one counts, also those displaced.
+double urgent_in_time(const std::vector<Ask>& asks) {
+  double all = 0;
+  double in_time = 0;
+  for (const Ask& ask : asks) {
+    all += ask.priority == 0 ? 1 : 0;
+    in_time += ask.priority == 0 && ask.in_time() ? 1 : 0;
+  }
+  return in_time / all;
+}
+
+TEST(StatementLineLoadTest, AFloodOfACheapClassDoesNotMakeUrgentOnesLate) {
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    std::mt19937 random(seed);
+    std::vector<Ask> asks;
+    add_asks(asks, random, 200, Ask{{}, 0, "", milliseconds(60)});   // Of 444 that 4 slots can do.
+    add_asks(asks, random, 900, Ask{{}, 2, "", milliseconds(400)});  // Twice as many alone.
+    play(asks, random, 4);
+    EXPECT_GE(urgent_in_time(asks), 0.99) << "seed " << seed;
+  }
+}
+
+TEST(StatementLineLoadTest, ATenthOfTheSlotsGoneDoesNotMakeUrgentOnesLate) {
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    std::mt19937 random(seed);
+    std::vector<Ask> asks;
+    add_asks(asks, random, 600, Ask{{}, 0, "", milliseconds(60)});  // Of 1,000 that 9 slots can do.
+    add_asks(asks, random, 600, Ask{{}, 2, "", milliseconds(400)});
+    play(asks, random, 10, 1);
+    EXPECT_GE(urgent_in_time(asks), 0.99) << "seed " << seed;
+  }
+}
+
+/// Ten tenants with 20 a second each, on 4 slots; "flood" asks `flood` a second.
+std::vector<core::Duration> calm_latencies(std::uint32_t seed, int flood) {
+  std::mt19937 random(seed);
+  std::vector<Ask> asks;
+  for (int tenant = 0; tenant < 10; ++tenant) {
+    add_asks(asks, random, 20, Ask{{}, 1, "t" + std::to_string(tenant), milliseconds(400)});
+  }
+  add_asks(asks, random, flood, Ask{{}, 1, "flood", milliseconds(400)});
+  play(asks, random, 4);
+  std::vector<core::Duration> latencies;
+  for (const Ask& ask : asks) {
+    if (ask.tenant != "flood") {
+      latencies.push_back(ask.latency);
+    }
+  }
+  std::sort(latencies.begin(), latencies.end());
+  return latencies;
+}
+
+TEST(StatementLineLoadTest, ATenantAtEightTimesItsUsualDelaysOthersByOneStatementAtMost) {
+  constexpr int kUsualRate = 50;
+  constexpr core::Duration kLongest = milliseconds(13);  // A statement under way is not interrupted.
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    const auto usual = calm_latencies(seed, kUsualRate);
+    const auto flooded = calm_latencies(seed, 8 * kUsualRate);
+    const std::size_t middle = usual.size() / 2;
+    const std::size_t late = usual.size() * 95 / 100;
+    EXPECT_LE(flooded[middle], usual[middle] + kLongest) << "seed " << seed;
+    EXPECT_LE(flooded[late], usual[late] + kLongest) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace pipitpond::pooling
