Pool: statements of transactions take room from new ones

Cause: the concurrency limit did not count statements inside transactions, so that each of 8 owners sent new ones beside them and the database's queue of 32 overflowed. Change: running statements of transactions count against the room for new statements; they themselves never ask for room. Resting transactions count for nothing, as before.

--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -366,14 +366,29 @@
   serve_waiters();
 }
 
-/// Transactions are not counted: their statements follow on what the database has done for them already.
+StatementsUnderWay BackendPool::under_way() const {
+  return StatementsUnderWay{in_use_.size() - transactions_, running_in_transactions_, opening_};
+}
+
 bool BackendPool::may_run_another() const {
-  return in_use_.size() - transactions_ + opening_ < concurrency_.limit();
+  return concurrency_.has_room(under_way());
+}
+
+void BackendPool::end_in_transaction() {
+  --running_in_transactions_;
+  serve_waiters();
+}
+
+/// Openings under way are for some of those that wait.
+bool BackendPool::may_hand_out() const {
+  StatementsUnderWay counted = under_way();
+  counted.opening = 0;
+  return concurrency_.has_room(counted);
 }
 
 void BackendPool::serve_waiters() {
   idle_.drop_closed();
-  while (!line_.empty() && in_use_.size() - transactions_ < concurrency_.limit()) {
+  while (!line_.empty() && may_hand_out()) {
     const std::shared_ptr<PoolWaiter> waiter = take_next_waiter();
     if (!waiter) {
       break;
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -139,7 +139,11 @@
   void on_open_failed(const core::Error& error);
   /// Takes the one that goes next among those that an idle connection will do for; null: none.
   std::shared_ptr<PoolWaiter> take_next_waiter();
+  [[nodiscard]] StatementsUnderWay under_way() const;
   [[nodiscard]] bool may_run_another() const;
+  [[nodiscard]] bool may_hand_out() const;
+  void begin_in_transaction() { ++running_in_transactions_; }
+  void end_in_transaction();
   void serve_waiters();
   void hand_out(std::unique_ptr<PooledConnection> connection);
   void take_back(std::unique_ptr<PooledConnection> connection, bool reusable);
@@ -157,7 +161,8 @@
   ConnectionShare share_;
   std::uint32_t slots_ = 1;
   ConcurrencyLimit concurrency_;
-  std::size_t transactions_ = 0;  ///< Connections in use that are in one.
+  std::size_t transactions_ = 0;             ///< Connections in use that are in one.
+  std::size_t running_in_transactions_ = 0;  ///< Statements under way on them.
   bool closed_ = false;
   std::size_t opening_ = 0;
   std::map<core::TenantName, std::size_t> opening_for_;  ///< Of them, by tenant.
--- a/src/pooling/concurrency_limit.cpp
+++ b/src/pooling/concurrency_limit.cpp
@@ -54,4 +54,8 @@
   return static_cast<std::uint32_t>(limit_);
 }
 
+bool ConcurrencyLimit::has_room(const StatementsUnderWay& under_way) const {
+  return under_way.outside + under_way.in_transactions + under_way.opening < limit();
+}
+
 }  // namespace pipitpond::pooling
--- a/src/pooling/concurrency_limit.hpp
+++ b/src/pooling/concurrency_limit.hpp
@@ -3,12 +3,20 @@
 // given up. No input or output.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "core/clock.hpp"
 
 namespace pipitpond::pooling {
 
+/// What one daemon has under way at one database.
+struct StatementsUnderWay {
+  std::size_t outside = 0;          ///< Statements outside transactions.
+  std::size_t in_transactions = 0;  ///< Statements of transactions; those that rest have none.
+  std::size_t opening = 0;          ///< Connections that are being opened.
+};
+
 /// The limit of one daemon for one database: additive increase, multiplicative decrease.
 class ConcurrencyLimit {
  public:
@@ -20,6 +28,9 @@
   void on_refused(core::Instant now);
 
   [[nodiscard]] std::uint32_t limit() const;
+  /// True when one more statement outside transactions may begin. Statements of transactions never ask: they
+  /// follow on what the database has done for them already. But they take slots, so that new ones wait.
+  [[nodiscard]] bool has_room(const StatementsUnderWay& under_way) const;
   /// Time of a usual statement by the newest answers, and when nothing is in its way.
   [[nodiscard]] core::Duration recent() const { return recent_; }
   [[nodiscard]] core::Duration unhindered() const { return unhindered_; }
--- a/src/pooling/connection_lease.cpp
+++ b/src/pooling/connection_lease.cpp
@@ -92,7 +92,14 @@
   const core::Instant sent = core::BootClock::now();
   BackendHealth& health = pool_->health_;
   const BatchNumber number = health.on_sent(sent, writes(asked));
+  const bool within = in_transaction_;
+  if (within) {
+    pool_->begin_in_transaction();
+  }
   auto replies = co_await connection_->link->run(std::move(batch), timeout);
+  if (within) {
+    pool_->end_in_transaction();
+  }
   connection_->expendable = false;
   const core::Instant now = core::BootClock::now();
   if (!replies) {
--- a/tests/pooling/backend_pool_test.cpp
+++ b/tests/pooling/backend_pool_test.cpp
@@ -193,6 +193,25 @@
   pipitpond::testing::run_until(io_, [&] { return others.back()->done(); });
 }
 
+TEST_F(BackendPoolTest, AStatementOfATransactionTakesRoomAndARestingTransactionTakesNone) {
+  pool_->set_share(ConnectionShare{3, 3, std::chrono::hours(1), 1, 1});
+  auto transaction = acquire();
+  Statement begin;
+  begin.kind = StatementKind::kBegin;
+  ASSERT_TRUE(pipitpond::testing::run(io_, transaction.value().run_own(begin, milliseconds(500))));
+  EXPECT_TRUE(acquire().has_value()) << "the transaction rests";
+  connector_.database("a").work = milliseconds(60);
+  Statement read;
+  const auto runs = pipitpond::testing::start(io_, transaction.value().run_own(read, milliseconds(5000)));
+  const auto waits = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request(5000)));
+  pipitpond::testing::run_until(io_, [this] { return pool_->waiting() == 1; });
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] {
+    EXPECT_TRUE(runs->done() || !waits->done());
+    return waits->done();
+  }));
+  EXPECT_TRUE(waits->value->has_value());
+}
+
 TEST_F(BackendPoolTest, ADatabaseThatRefusesFailsThoseThatWaitAtOnce) {
   connector_.database("a").refuses_connections = true;
   const core::Instant before = core::BootClock::now();
--- /dev/null
+++ b/tests/pooling/concurrency_load_test.cpp
@@ -0,0 +1,265 @@
+// Owners of one database under more load than its slots can take: what their limits let through.
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "pooling/concurrency_limit.hpp"
+#include "pooling/statement_line.hpp"
+
+namespace pipitpond::pooling {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kSlots = 4;
+constexpr std::size_t kDatabaseQueue = 32;
+constexpr std::size_t kOwners = 8;
+constexpr std::uint32_t kMostOfOneOwner = 5;
+constexpr int kStatementsOfTransaction = 5;
+constexpr core::Duration kRest = milliseconds(2);        ///< Between statements of a transaction.
+constexpr core::Duration kBusyPause = milliseconds(10);  ///< After a rejection.
+constexpr core::Duration kRejection = milliseconds(1);
+constexpr core::Duration kGoal = milliseconds(400);
+constexpr core::Duration kDeadline = milliseconds(1000);
+constexpr core::Duration kUsual = milliseconds(9);
+
+struct Outcome {
+  std::size_t asked = 0;
+  std::size_t in_time = 0;
+  std::size_t rejected = 0;  ///< By the database.
+
+  Outcome& operator+=(const Outcome& other) {
+    asked += other.asked;
+    in_time += other.in_time;
+    rejected += other.rejected;
+    return *this;
+  }
+  [[nodiscard]] double goodput() const { return static_cast<double>(in_time) / static_cast<double>(asked); }
+};
+
+struct Request {
+  std::size_t owner = 0;
+  core::Instant arrived;
+  int statements_left = 1;
+};
+
+struct Owner {
+  ConcurrencyLimit limit;
+  StatementLine line;
+  StatementsUnderWay under_way;
+};
+
+/// All owners and the database, played without a network.
+class Play {
+ public:
+  Play(std::uint32_t seed, bool counts_transactions)
+      : random_(seed), counts_transactions_(counts_transactions), owners_(kOwners) {
+    for (Owner& owner : owners_) {
+      owner.limit.set_bounds(1, kMostOfOneOwner);
+    }
+  }
+
+  /// Five seconds of requests, a part of which are transactions; then as long as any of them runs.
+  Outcome run(int statements_per_second, double transactions) {
+    constexpr int kSeconds = 5;
+    const double statements = 1 + transactions * (kStatementsOfTransaction - 1);
+    const int count = static_cast<int>(kSeconds * statements_per_second / statements);
+    std::uniform_int_distribution<int> micros(0, kSeconds * 1'000'000);
+    std::uniform_int_distribution<std::size_t> owner(0, kOwners - 1);
+    std::bernoulli_distribution is_transaction(transactions);
+    for (int number = 0; number < count; ++number) {
+      Request request;
+      request.owner = owner(random_);
+      request.arrived = core::Instant{} + core::Duration(micros(random_));
+      request.statements_left = is_transaction(random_) ? kStatementsOfTransaction : 1;
+      at_time(request.arrived, [this, request] { arrive(request); });
+    }
+    outcome_.asked = static_cast<std::size_t>(count);
+    while (!events_.empty()) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.act();
+    }
+    return outcome_;
+  }
+
+ private:
+  struct Event {
+    core::Instant at;
+    std::uint64_t number = 0;
+    std::function<void()> act;
+
+    bool operator>(const Event& other) const {
+      return std::pair(at, number) > std::pair(other.at, other.number);
+    }
+  };
+  struct Job {
+    core::Duration length;
+    std::function<void(bool)> done;
+  };
+
+  void at_time(core::Instant at, std::function<void()> act) {
+    events_.push({at, ++events_made_, std::move(act)});
+  }
+
+  // --- Database
+
+  void submit(std::function<void(bool)> done) {
+    if (jobs_.size() >= kDatabaseQueue) {
+      ++outcome_.rejected;
+      at_time(now_ + kRejection, [done = std::move(done)] { done(false); });
+      return;
+    }
+    std::uniform_int_distribution<int> micros(5'000, 13'000);
+    jobs_.push_back({core::Duration(micros(random_)), std::move(done)});
+    start_jobs();
+  }
+
+  void start_jobs() {
+    while (busy_ < kSlots && !jobs_.empty()) {
+      Job job = std::move(jobs_.front());
+      jobs_.pop_front();
+      ++busy_;
+      at_time(now_ + job.length, [this, done = std::move(job.done)] {
+        --busy_;
+        start_jobs();
+        done(true);
+      });
+    }
+  }
+
+  // --- Owners
+
+  void arrive(const Request& request) {
+    LineEntry entry;
+    entry.number = ++last_number_;
+    entry.goal = request.arrived + kGoal;
+    waiting_.emplace(entry.number, request);
+    owners_[request.owner].line.join(now_, entry, kSlots * kMostWaitingForEachSlot, kUsual);
+    serve(request.owner);
+  }
+
+  [[nodiscard]] bool has_room(const Owner& owner) const {
+    StatementsUnderWay counted = owner.under_way;
+    counted.in_transactions = counts_transactions_ ? counted.in_transactions : 0;
+    return owner.limit.has_room(counted);
+  }
+
+  void serve(std::size_t index) {
+    Owner& owner = owners_[index];
+    while (has_room(owner)) {
+      const auto next = owner.line.take_next(now_, kUsual, [](const LineEntry&) { return true; });
+      if (!next) {
+        return;
+      }
+      const Request request = waiting_.at(*next);
+      waiting_.erase(*next);
+      if (now_ < request.arrived + kDeadline) {
+        begin(request);
+      }
+    }
+  }
+
+  void begin(const Request& request) {
+    ++owners_[request.owner].under_way.outside;
+    submit([this, request, sent = now_](bool ran) {
+      Owner& owner = owners_[request.owner];
+      --owner.under_way.outside;
+      note_answer(owner, ran, sent);
+      if (ran) {
+        go_on(request);
+      } else {
+        at_time(now_ + kBusyPause, [this, request] { arrive(request); });
+      }
+      serve(request.owner);
+    });
+  }
+
+  /// A statement of the request has run.
+  void go_on(Request request) {
+    if (--request.statements_left > 0) {
+      at_time(now_ + kRest, [this, request] { run_in_transaction(request); });
+      return;
+    }
+    outcome_.in_time += now_ <= request.arrived + kGoal ? 1 : 0;
+  }
+
+  void run_in_transaction(const Request& request) {
+    if (now_ >= request.arrived + kDeadline) {
+      return;
+    }
+    ++owners_[request.owner].under_way.in_transactions;
+    submit([this, request, sent = now_](bool ran) {
+      Owner& owner = owners_[request.owner];
+      --owner.under_way.in_transactions;
+      note_answer(owner, ran, sent);
+      if (ran) {
+        go_on(request);
+      } else {
+        at_time(now_ + kBusyPause, [this, request] { run_in_transaction(request); });
+      }
+      serve(request.owner);
+    });
+  }
+
+  void note_answer(Owner& owner, bool ran, core::Instant sent) const {
+    if (ran) {
+      owner.limit.on_answered(now_, now_ - sent);
+    } else {
+      owner.limit.on_refused(now_);
+    }
+  }
+
+  std::mt19937 random_;
+  bool counts_transactions_;
+  std::vector<Owner> owners_;
+  core::Instant now_{};
+  std::uint64_t events_made_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::deque<Job> jobs_;
+  std::size_t busy_ = 0;
+  std::map<WaiterNumber, Request> waiting_;
+  WaiterNumber last_number_ = 0;
+  Outcome outcome_;
+};
+
+Outcome play_seeds(bool counts_transactions, int statements_per_second, double transactions) {
+  constexpr std::uint32_t kSeeds = 30;
+  Outcome all;
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    all += Play(seed, counts_transactions).run(statements_per_second, transactions);
+  }
+  return all;
+}
+
+/// Of the statements that 4 slots can run in a second, 444, these are 130%.
+constexpr int kOverload = 577;
+
+TEST(ConcurrencyLoadTest, CountingTransactionsKeepsTheDatabasesQueueFromOverflowing) {
+  for (const double transactions : {0.2, 0.5, 0.8}) {
+    const Outcome before = play_seeds(false, kOverload, transactions);
+    const Outcome after = play_seeds(true, kOverload, transactions);
+    EXPECT_LT(after.rejected * 20, before.rejected) << "transactions: " << transactions;
+    EXPECT_GT(after.goodput(), before.goodput() + 0.03) << "transactions: " << transactions;
+  }
+}
+
+TEST(ConcurrencyLoadTest, CountingTransactionsCostsNothingWithoutShortage) {
+  for (const double transactions : {0.2, 0.5, 0.8}) {
+    const Outcome before = play_seeds(false, 360, transactions);
+    const Outcome after = play_seeds(true, 360, transactions);
+    EXPECT_EQ(after.rejected, 0U) << "transactions: " << transactions;
+    EXPECT_GT(after.goodput(), before.goodput() - 0.001) << "transactions: " << transactions;
+  }
+}
+
+}  // namespace
+}  // namespace pipitpond::pooling
