--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -127,7 +127,7 @@
 }
 
 std::shared_ptr<PoolWaiter> BackendPool::join_line(const ConnectionRequest& request) {
-  const auto waiter = std::make_shared<PoolWaiter>(io_);
+  auto waiter = std::make_shared<PoolWaiter>(io_);
   waiter->number = ++last_waiter_;
   waiter->goal = request.goal;
   waiter->session = request.session;
--- a/tests/pooling/backend_pool_test.cpp
+++ b/tests/pooling/backend_pool_test.cpp
@@ -204,7 +204,8 @@
   Statement read;
   const auto runs = pipitpond::testing::start(io_, transaction.value().run_own(read, milliseconds(5000)));
   const auto waits = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request(5000)));
-  pipitpond::testing::run_until(io_, [this] { return pool_->waiting() == 1; });
+  pipitpond::testing::run_until(io_, [&] { return pool_->waiting() == 1 || waits->done(); });
+  EXPECT_FALSE(waits->done()) << "the transaction's statement has the only room";
   ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] {
     EXPECT_TRUE(runs->done() || !waits->done());
     return waits->done();
