--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -7,6 +7,8 @@
 #include <optional>
 #include <utility>
 
+#include "logging/logging.hpp"
+#include "pooling/opening_choice.hpp"
 #include "pooling/waiting.hpp"
 
 namespace pipitpond::pooling {
@@ -31,9 +33,9 @@
 /// How much longer it may stay after an opening that was not refused.
 constexpr core::Duration kBorrowedIdleStep = std::chrono::milliseconds(10);
 
-/// Its answer may wait for a replica's receipt.
-bool writes(const Statement& statement) {
-  return statement.kind == StatementKind::kCommit || may_write(statement);
+core::Error line_full_error() {
+  return core::Error{core::ErrorKind::kNoCapacity, "Too many wait for a connection to the database.",
+                     "Try again a little later.", 100};
 }
 
 core::Error closed_error() {
@@ -47,142 +49,23 @@
 struct PoolWaiter {
   explicit PoolWaiter(boost::asio::io_context& io) : timer(io) {}
 
-  std::uint32_t priority = 0;
+  WaiterNumber number = 0;
   core::Instant goal;
   const SessionState* session = nullptr;
   std::optional<core::TenantName> tenant;
+  bool counted_as_waiting = false;  ///< In PoolCounters::waited_instead.
   boost::asio::steady_timer timer;
   std::unique_ptr<PooledConnection> connection;
   std::optional<core::Error> error;
 };
 
-// --- Lease
-// -----------------------------------------------------------------------------------------------------
-
-ConnectionLease::ConnectionLease(std::shared_ptr<BackendPool> pool,
-                                 std::unique_ptr<PooledConnection> connection)
-    : pool_(std::move(pool)), connection_(std::move(connection)) {
-  pool_->in_use_.insert(connection_.get());
-}
-
-ConnectionLease::~ConnectionLease() {
-  give_back();
-}
-
-ConnectionLease& ConnectionLease::operator=(ConnectionLease&& other) noexcept {
-  if (this != &other) {
-    give_back();
-    pool_ = std::move(other.pool_);
-    connection_ = std::move(other.connection_);
-    in_transaction_ = other.in_transaction_;
-  }
-  return *this;
-}
-
-void ConnectionLease::give_back() {
-  if (connection_) {
-    const bool reusable = !in_transaction_;
-    set_in_transaction(false);
-    pool_->take_back(std::move(connection_), reusable);
-  }
-}
-
-void ConnectionLease::set_in_transaction(bool in_transaction) {
-  if (in_transaction == in_transaction_) {
-    return;
-  }
-  in_transaction_ = in_transaction;
-  if (in_transaction) {
-    ++pool_->transactions_;
-    pool_->serve_waiters();
-  } else {
-    --pool_->transactions_;
-  }
-}
-
-void ConnectionLease::discard() {
-  connection_->link->close();
-}
-
-awaitable<core::Result<StatementReply>> ConnectionLease::run(const SessionState& session,
-                                                             BackendStatement statement,
-                                                             core::Duration timeout) {
-  std::vector<BackendStatement> batch;
-  for (Statement& before :
-       align_connection(session, connection_->state, statement.statement, in_transaction_)) {
-    batch.push_back(BackendStatement{std::move(before), {}});
-  }
-  batch.push_back(std::move(statement));
-  co_return co_await run_batch(std::move(batch), timeout);
-}
-
-awaitable<core::Result<StatementReply>> ConnectionLease::run_own(Statement statement,
-                                                                 core::Duration timeout) {
-  std::vector<BackendStatement> batch;
-  batch.push_back(BackendStatement{std::move(statement), {}});
-  co_return co_await run_batch(std::move(batch), timeout);
-}
-
-awaitable<core::Result<StatementReply>> ConnectionLease::run_batch(std::vector<BackendStatement> batch,
-                                                                   core::Duration timeout) {
-  const Statement& asked = batch.back().statement;
-  const bool reads_alone = !in_transaction_ && !writes(asked);
-  connection_->expendable = reads_alone;
-  const core::Instant sent = core::BootClock::now();
-  BackendHealth& health = pool_->health_;
-  const BatchNumber number = health.on_sent(sent, writes(asked));
-  auto replies = co_await connection_->link->run(std::move(batch), timeout);
-  connection_->expendable = false;
-  const core::Instant now = core::BootClock::now();
-  if (!replies) {
-    const bool broke = replies.error().kind != core::ErrorKind::kTimeout;
-    health.on_abandoned(now, number, broke);
-    ++pool_->counters_.broke;
-    co_return replies.error();
-  }
-  health.on_answered(now, number);
-  pool_->note_latency(now - sent);
-  for (std::size_t before = 0; before + 1 < replies.value().size(); ++before) {
-    if (replies.value()[before].failure) {
-      connection_->link->close();
-      co_return core::fail(core::ErrorKind::kConnectionLost,
-                           "The connection could not take the session's state.",
-                           "Run the statement on another connection.");
-    }
-  }
-  StatementReply reply = std::move(replies.value().back());
-  const bool refused = reply.failure && reply.failure->code == FailureCode::kBusy;
-  if (refused) {
-    pool_->concurrency_.on_refused(now);
-  } else {
-    pool_->concurrency_.on_answered(now, now - sent);
-  }
-  set_in_transaction(reply.state != TransactionState::kIdle);
-  co_return reply;
-}
-
-awaitable<core::Result<BackendStatus>> ConnectionLease::status(core::Duration timeout) {
-  const BatchNumber number = pool_->health_.on_sent(core::BootClock::now(), false);
-  auto status = co_await connection_->link->status(std::max(timeout, core::Duration::zero()));
-  const core::Instant now = core::BootClock::now();
-  const bool answered = status || connection_->link->is_open();
-  if (answered) {
-    pool_->health_.on_answered(now, number);
-  } else {
-    pool_->health_.on_abandoned(now, number, status.error().kind != core::ErrorKind::kTimeout);
-  }
-  co_return status;
-}
-
-// --- Pool
-// ------------------------------------------------------------------------------------------------------
-
 BackendPool::BackendPool(boost::asio::io_context& io, BackendConnector& connector, BackendAddress address,
                          core::ZoneName zone)
     : io_(io),
       connector_(connector),
       address_(std::move(address)),
       zone_(std::move(zone)),
+      openings_check_(io),
       borrowed_idle_limit_(kBorrowedIdleMax / 2),
       usual_latency_(kFirstLatency),
       usual_opening_(kFirstLatency) {}
@@ -193,7 +76,7 @@
   share_ = share;
   concurrency_.set_bounds(share.first_concurrency, share.most_concurrency);
   while (!idle_.empty() && held() > share_.most) {
-    idle_.pop_front();
+    idle_.close_oldest();
   }
   open_when_needed();
 }
@@ -212,8 +95,10 @@
   if (request.tenant) {
     pool->demand_.note_use(core::BootClock::now(), *request.tenant);
   }
-  if (pool->waiters_.empty() && pool->may_run_another()) {
-    if (auto idle = pool->take_idle(request.tenant, request.session)) {
+  if (pool->line_.empty() && pool->may_run_another()) {
+    if (auto idle = pool->idle_.take(request.tenant, request.session)) {
+      pool->line_.note_started(request.tenant, pool->usual_latency_);
+      idle->charged = pool->usual_latency_;
       co_return ConnectionLease(pool, std::move(idle));
     }
   }
@@ -221,15 +106,7 @@
     co_return core::fail(core::ErrorKind::kConnectionRefused, "The database can't be reached.",
                          "Choose another one, or try again.");
   }
-  const auto waiter = std::make_shared<PoolWaiter>(pool->io_);
-  waiter->priority = request.priority;
-  waiter->goal = request.goal;
-  waiter->session = request.session;
-  waiter->tenant = request.tenant;
-  const auto place = std::find_if(
-      pool->waiters_.begin(), pool->waiters_.end(),
-      [&](const std::shared_ptr<PoolWaiter>& other) { return other->priority > request.priority; });
-  pool->waiters_.insert(place, waiter);
+  const std::shared_ptr<PoolWaiter> waiter = pool->join_line(request);
   pool->serve_waiters();  // Those before it may wait for connections of other tenants.
   if (!waiter->connection && !waiter->error) {
     waiter->timer.expires_after(std::max(core::Duration::zero(), request.deadline - core::BootClock::now()));
@@ -239,7 +116,8 @@
   if (waiter->connection) {
     co_return ConnectionLease(pool, std::move(waiter->connection));
   }
-  std::erase(pool->waiters_, waiter);
+  pool->line_.remove(waiter->number);
+  pool->waiters_.erase(waiter->number);
   if (waiter->error) {
     co_return *waiter->error;
   }
@@ -248,6 +126,44 @@
                        "Try again a little later.", 100);
 }
 
+std::shared_ptr<PoolWaiter> BackendPool::join_line(const ConnectionRequest& request) {
+  auto waiter = std::make_shared<PoolWaiter>(io_);
+  waiter->number = ++last_waiter_;
+  waiter->goal = request.goal;
+  waiter->session = request.session;
+  waiter->tenant = request.tenant;
+  waiters_.emplace(waiter->number, waiter);
+  const LineEntry entry{waiter->number, request.priority, request.goal, request.tenant};
+  const std::size_t most = slots_ * kMostWaitingForEachSlot;
+  const JoinOutcome outcome = line_.join(core::BootClock::now(), entry, most, usual_latency_);
+  if (!outcome.joined) {
+    ++counters_.line_full;
+    refuse_waiter(waiter->number, entry, "line_full");
+  }
+  if (outcome.displaced) {
+    ++counters_.displaced;
+    refuse_waiter(*outcome.displaced, entry, "displaced");
+  }
+  return waiter;
+}
+
+void BackendPool::refuse_waiter(WaiterNumber number, const LineEntry& newest, const char* reason) {
+  logging::logger("pool")->info(
+      "event=line_refusal database={} reason={} waiting={} newest_priority={} slots={} usual_us={}",
+      logging::field(address_.database.value()), reason, line_.size(), newest.priority, slots_,
+      usual_latency_.count());
+  const auto found = waiters_.find(number);
+  found->second->error = line_full_error();
+  found->second->timer.cancel();
+  waiters_.erase(found);
+}
+
+/// Of what a statement's start was charged, the rest; a transaction's later statements are charged whole.
+void BackendPool::note_slot_time(PooledConnection& connection, core::Duration taken) {
+  const core::Duration charged = std::exchange(connection.charged, core::Duration::zero());
+  line_.note_used(connection.tenant, taken - charged);
+}
+
 awaitable<core::Result<BackendStatus>> BackendPool::ask_status(std::shared_ptr<BackendPool> pool,
                                                                core::Duration timeout) {
   const core::Instant deadline = core::BootClock::now() + timeout;
@@ -260,57 +176,87 @@
   co_return co_await lease.value().status(deadline - core::BootClock::now());
 }
 
-void BackendPool::drop_closed_idle() {
-  std::erase_if(idle_, [](const auto& connection) { return !connection->link->is_open(); });
-}
-
-bool BackendPool::has_idle_for(const std::optional<core::TenantName>& tenant) const {
-  return std::any_of(idle_.begin(), idle_.end(),
-                     [&](const auto& connection) { return !tenant || connection->tenant == *tenant; });
-}
-
-std::unique_ptr<PooledConnection> BackendPool::take_idle(const std::optional<core::TenantName>& tenant,
-                                                         const SessionState* session) {
-  drop_closed_idle();
-  const auto belongs = [&](const auto& connection) { return !tenant || connection->tenant == *tenant; };
-  auto chosen = std::find_if(idle_.rbegin(), idle_.rend(), belongs);
-  if (chosen == idle_.rend()) {
-    return nullptr;
-  }
-  if (session != nullptr) {
-    const auto fitting = std::find_if(idle_.rbegin(), idle_.rend(), [&](const auto& connection) {
-      return belongs(connection) && has_values_of(connection->state, *session);
-    });
-    chosen = fitting != idle_.rend() ? fitting : chosen;
-  }
-  std::unique_ptr<PooledConnection> connection = std::move(*chosen);
-  idle_.erase(std::prev(chosen.base()));
-  return connection;
+void BackendPool::note_in_use(PooledConnection& connection) {
+  in_use_.insert(&connection);
+  connection.in_use_since = core::BootClock::now();
+  connection.in_transaction = false;
 }
 
 void BackendPool::open_when_needed() {
   const bool resting = core::BootClock::now() < next_open_;
   while (!closed_ && !resting && may_run_another()) {
-    const std::shared_ptr<PoolWaiter> waiter = next_without_opening();
+    const std::shared_ptr<PoolWaiter> waiter = next_to_open_for();
     if (!waiter || !make_room()) {
       break;
     }
+    ++counters_.opened_for_want;
     begin_to_open(waiter->tenant.value_or(core::TenantName()));
   }
 }
 
-std::shared_ptr<PoolWaiter> BackendPool::next_without_opening() const {
+std::shared_ptr<PoolWaiter> BackendPool::next_to_open_for() {
   std::map<core::TenantName, std::size_t> openings = opening_for_;
-  for (const std::shared_ptr<PoolWaiter>& waiter : waiters_) {
-    std::size_t& left = openings[waiter->tenant.value_or(core::TenantName())];
-    if (left == 0) {
+  std::map<core::TenantName, std::size_t> before;
+  for (const LineEntry& entry : line_.in_order(core::BootClock::now(), usual_latency_)) {
+    const std::shared_ptr<PoolWaiter>& waiter = waiters_.at(entry.number);
+    const core::TenantName tenant = waiter->tenant.value_or(core::TenantName());
+    std::size_t& left = openings[tenant];
+    if (left > 0) {
+      --left;
+      continue;
+    }
+    if (should_open_for(*waiter, before[tenant], coming_back(tenant))) {
       return waiter;
     }
-    --left;
+    ++before[tenant];
+    counters_.waited_instead += waiter->counted_as_waiting ? 0 : 1;
+    waiter->counted_as_waiting = true;
+    check_openings_later();
   }
   return nullptr;
 }
 
+bool BackendPool::should_open_for(const PoolWaiter& waiter, std::size_t waiting_before,
+                                  std::size_t coming_back) const {
+  if (!waiter.tenant || waiter.tenant->empty()) {
+    return true;
+  }
+  const auto opening = opening_for_.find(*waiter.tenant);
+  OpeningInputs inputs;
+  inputs.waiting_before = waiting_before;
+  inputs.coming_back = coming_back;
+  inputs.opening = opening == opening_for_.end() ? 0 : opening->second;
+  inputs.closes_another = held() >= share_.most;
+  inputs.usual_statement = usual_latency_;
+  inputs.usual_opening = usual_opening_;
+  return should_open(inputs);
+}
+
+std::size_t BackendPool::coming_back(const core::TenantName& tenant) const {
+  const core::Instant now = core::BootClock::now();
+  const auto count = std::count_if(in_use_.begin(), in_use_.end(), [&](const PooledConnection* connection) {
+    return connection->tenant == tenant && !connection->in_transaction &&
+           !is_overdue(now, connection->in_use_since, usual_latency_);
+  });
+  return static_cast<std::size_t>(count);
+}
+
+void BackendPool::check_openings_later() {
+  if (openings_check_set_) {
+    return;
+  }
+  openings_check_set_ = true;
+  openings_check_.expires_after(usual_opening_);
+  openings_check_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+    const auto self = weak.lock();
+    if (!self || error) {
+      return;
+    }
+    self->openings_check_set_ = false;
+    self->open_when_needed();
+  });
+}
+
 bool BackendPool::make_room() {
   if (held() < share_.most) {
     return true;
@@ -318,26 +264,11 @@
   if (idle_.empty()) {
     return false;
   }
-  idle_.erase(least_wanted_idle());
+  idle_.close_least_wanted(core::BootClock::now(), demand_);
   ++counters_.made_room;
   return true;
 }
 
-std::deque<std::unique_ptr<PooledConnection>>::iterator BackendPool::least_wanted_idle() {
-  std::map<core::TenantName, double> held_by;
-  for (const auto& connection : idle_) {
-    ++held_by[connection->tenant];
-  }
-  const core::Instant now = core::BootClock::now();
-  std::map<core::TenantName, double> worth;
-  for (const auto& [tenant, count] : held_by) {
-    worth[tenant] = demand_.of(now, tenant) / count;
-  }
-  return std::min_element(idle_.begin(), idle_.end(), [&](const auto& left, const auto& right) {
-    return worth.at(left->tenant) < worth.at(right->tenant);
-  });
-}
-
 void BackendPool::begin_to_open(core::TenantName tenant) {
   ++opening_;
   ++opening_for_[tenant];
@@ -356,8 +287,8 @@
 }
 
 void BackendPool::give_back_borrowed(core::Instant now) {
-  while (!idle_.empty() && held() > share_.kept && now - idle_.front()->idle_since >= borrowed_idle_limit_) {
-    idle_.erase(least_wanted_idle());
+  while (!idle_.empty() && held() > share_.kept && now - idle_.oldest_since() >= borrowed_idle_limit_) {
+    idle_.close_least_wanted(now, demand_);
     ++counters_.given_back;
   }
 }
@@ -380,6 +311,7 @@
     co_return;
   }
   ++self->counters_.opened;
+  self->line_.note_used(tenant, now - begun);
   self->usual_opening_ += (now - begun - self->usual_opening_) / kLatencyWeight;
   self->borrowed_idle_limit_ = std::min(kBorrowedIdleMax, self->borrowed_idle_limit_ + kBorrowedIdleStep);
   self->health_.on_connected(now);
@@ -408,20 +340,17 @@
   borrowed_idle_limit_ = std::max(kBorrowedIdleMin, borrowed_idle_limit_ / 2);
 }
 
-/// The first that can still be answered in time, or else the first.
 std::shared_ptr<PoolWaiter> BackendPool::take_next_waiter() {
-  const core::Instant answered = core::BootClock::now() + usual_latency_;
-  const auto servable = [this](const auto& waiter) { return has_idle_for(waiter->tenant); };
-  auto next = std::find_if(waiters_.begin(), waiters_.end(),
-                           [&](const auto& waiter) { return answered <= waiter->goal && servable(waiter); });
-  if (next == waiters_.end()) {
-    next = std::find_if(waiters_.begin(), waiters_.end(), servable);
-  }
-  if (next == waiters_.end()) {
+  const core::Instant now = core::BootClock::now();
+  const auto servable = [this](const LineEntry& entry) { return idle_.has_for(entry.tenant); };
+  const std::optional<WaiterNumber> next = line_.take_next(now, usual_latency_, servable);
+  if (!next) {
     return nullptr;
   }
-  std::shared_ptr<PoolWaiter> waiter = *next;
-  waiters_.erase(next);
+  const auto found = waiters_.find(*next);
+  std::shared_ptr<PoolWaiter> waiter = std::move(found->second);
+  waiters_.erase(found);
+  counters_.late_in_line += now + usual_latency_ > waiter->goal ? 1 : 0;
   return waiter;
 }
 
@@ -432,25 +361,41 @@
   }
   if (held() < share_.most) {
     connection->idle_since = core::BootClock::now();
-    idle_.push_back(std::move(connection));
+    idle_.add(std::move(connection));
   }
   serve_waiters();
 }
 
-/// Transactions are not counted: their statements follow on what the database has done for them already.
+StatementsUnderWay BackendPool::under_way() const {
+  return StatementsUnderWay{in_use_.size() - transactions_, running_in_transactions_, opening_};
+}
+
 bool BackendPool::may_run_another() const {
-  return in_use_.size() - transactions_ + opening_ < concurrency_.limit();
+  return concurrency_.has_room(under_way());
+}
+
+void BackendPool::end_in_transaction() {
+  --running_in_transactions_;
+  serve_waiters();
+}
+
+/// Openings under way are for some of those that wait.
+bool BackendPool::may_hand_out() const {
+  StatementsUnderWay counted = under_way();
+  counted.opening = 0;
+  return concurrency_.has_room(counted);
 }
 
 void BackendPool::serve_waiters() {
-  drop_closed_idle();
-  while (!waiters_.empty() && in_use_.size() - transactions_ < concurrency_.limit()) {
+  idle_.drop_closed();
+  while (!line_.empty() && may_hand_out()) {
     const std::shared_ptr<PoolWaiter> waiter = take_next_waiter();
     if (!waiter) {
       break;
     }
-    waiter->connection = take_idle(waiter->tenant, waiter->session);
-    in_use_.insert(waiter->connection.get());
+    waiter->connection = idle_.take(waiter->tenant, waiter->session);
+    waiter->connection->charged = usual_latency_;
+    note_in_use(*waiter->connection);
     waiter->timer.cancel();
   }
   open_when_needed();
@@ -466,14 +411,15 @@
 
 void BackendPool::fail_waiters(const core::Error& error) {
   const auto waiters = std::exchange(waiters_, {});
-  for (const std::shared_ptr<PoolWaiter>& waiter : waiters) {
+  line_.clear();
+  for (const auto& [number, waiter] : waiters) {
     waiter->error = error;
     waiter->timer.cancel();
   }
 }
 
 core::Duration BackendPool::expected_wait() const {
-  const auto before = static_cast<std::int64_t>(in_use_.size() + waiters_.size());
+  const auto before = static_cast<std::int64_t>(in_use_.size() + line_.size());
   const core::Duration opening = idle_.empty() ? usual_opening_ : core::Duration::zero();
   return opening + usual_latency_ + usual_latency_ * before / std::max<std::int64_t>(slots_, 1);
 }
--- a/src/pooling/backend_pool.hpp
+++ b/src/pooling/backend_pool.hpp
@@ -4,9 +4,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
-#include <deque>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,63 +17,19 @@
 #include "pooling/backend.hpp"
 #include "pooling/backend_health.hpp"
 #include "pooling/concurrency_limit.hpp"
+#include "pooling/connection_lease.hpp"
 #include "pooling/connection_share.hpp"
+#include "pooling/idle_connections.hpp"
+#include "pooling/pooled_connection.hpp"
 #include "pooling/replica_reach.hpp"
 #include "pooling/session_state.hpp"
-#include "pooling/statement_lease.hpp"
+#include "pooling/statement_line.hpp"
 #include "pooling/tenant_demand.hpp"
 
 namespace pipitpond::pooling {
 
-class BackendPool;
 struct PoolWaiter;
 
-/// A connection and what it has been told.
-struct PooledConnection {
-  std::unique_ptr<BackendConnection> link;
-  core::TenantName tenant;  ///< Whose statements it carries.
-  ConnectionState state;
-  /// A read under way on it may be run elsewhere: it is cut off when the database is found unreachable.
-  bool expendable = false;
-  core::Instant idle_since{};
-};
-
-/// A lease on one of this daemon's own connections. Gives it back when it is destroyed: open and outside a
-/// transaction, or else closed.
-class ConnectionLease : public StatementLease {
- public:
-  ConnectionLease(std::shared_ptr<BackendPool> pool, std::unique_ptr<PooledConnection> connection);
-  ~ConnectionLease() override;
-  ConnectionLease(ConnectionLease&&) noexcept = default;
-  ConnectionLease& operator=(ConnectionLease&&) noexcept;
-  ConnectionLease(const ConnectionLease&) = delete;
-  ConnectionLease& operator=(const ConnectionLease&) = delete;
-
-  /// A statement that had to go before it and failed counts as a lost connection.
-  boost::asio::awaitable<core::Result<StatementReply>> run(const SessionState& session,
-                                                           BackendStatement statement,
-                                                           core::Duration timeout) override;
-  /// Runs a statement of the proxy itself.
-  boost::asio::awaitable<core::Result<StatementReply>> run_own(Statement statement, core::Duration timeout);
-
-  /// Asks the database for its status. Errors as BackendConnection::status.
-  boost::asio::awaitable<core::Result<BackendStatus>> status(core::Duration timeout);
-
-  [[nodiscard]] const std::shared_ptr<BackendPool>& pool() const { return pool_; }
-  void discard() override;
-  [[nodiscard]] core::Duration longest_wait() const override { return core::Duration::zero(); }
-
- private:
-  boost::asio::awaitable<core::Result<StatementReply>> run_batch(std::vector<BackendStatement> batch,
-                                                                 core::Duration timeout);
-  void give_back();
-  void set_in_transaction(bool in_transaction);
-
-  std::shared_ptr<BackendPool> pool_;
-  std::unique_ptr<PooledConnection> connection_;
-  bool in_transaction_ = false;
-};
-
 /// Who asks for a connection.
 struct ConnectionRequest {
   std::uint32_t priority = 0;  ///< 0 goes first.
@@ -90,11 +45,16 @@
 /// What a pool counts since its start.
 struct PoolCounters {
   std::uint64_t opened = 0;
+  std::uint64_t opened_for_want = 0;  ///< Openings begun for statements that waited.
   std::uint64_t open_failed = 0;
-  std::uint64_t given_back = 0;  ///< Borrowed connections that were closed because they were idle.
-  std::uint64_t made_room = 0;   ///< Idle connections that were closed for another tenant's.
+  std::uint64_t given_back = 0;      ///< Borrowed connections that were closed because they were idle.
+  std::uint64_t made_room = 0;       ///< Idle connections that were closed for another tenant's.
+  std::uint64_t waited_instead = 0;  ///< Statements that were to wait for their tenant's connections in use.
   std::uint64_t broke = 0;
   std::uint64_t waited_in_vain = 0;
+  std::uint64_t displaced = 0;     ///< Statements that left a full line to more urgent ones.
+  std::uint64_t line_full = 0;     ///< Statements that found a full line of those that go before them.
+  std::uint64_t late_in_line = 0;  ///< Statements that got a connection too late for their goal.
   std::uint64_t probes = 0;
 };
 
@@ -143,7 +103,7 @@
     return health_.usable() && (connected || !last_open_failed_);
   }
   [[nodiscard]] std::size_t in_use() const { return in_use_.size(); }
-  [[nodiscard]] std::size_t waiting() const { return waiters_.size(); }
+  [[nodiscard]] std::size_t waiting() const { return line_.size(); }
   /// What the next request has to expect: time of a usual statement, and of those before it.
   [[nodiscard]] core::Duration expected_wait() const;
   /// A statement took this long.
@@ -156,17 +116,21 @@
  private:
   friend class ConnectionLease;
 
-  std::unique_ptr<PooledConnection> take_idle(const std::optional<core::TenantName>& tenant,
-                                              const SessionState* session);
-  [[nodiscard]] bool has_idle_for(const std::optional<core::TenantName>& tenant) const;
-  void drop_closed_idle();
-  /// The first that waits and for which no connection is being opened; null: none.
-  [[nodiscard]] std::shared_ptr<PoolWaiter> next_without_opening() const;
+  /// Puts one in the line; one that has no place there has its error set.
+  std::shared_ptr<PoolWaiter> join_line(const ConnectionRequest& request);
+  void refuse_waiter(WaiterNumber number, const LineEntry& newest, const char* reason);
+  void note_slot_time(PooledConnection& connection, core::Duration taken);
+  void note_in_use(PooledConnection& connection);
+  /// The first that waits and for which a connection should be opened; null: none.
+  [[nodiscard]] std::shared_ptr<PoolWaiter> next_to_open_for();
+  [[nodiscard]] bool should_open_for(const PoolWaiter& waiter, std::size_t waiting_before,
+                                     std::size_t coming_back) const;
+  /// The tenant's connections that run a statement outside a transaction and are not overdue.
+  [[nodiscard]] std::size_t coming_back(const core::TenantName& tenant) const;
+  /// Looks again after the time of an opening: connections that were to come back may be overdue.
+  void check_openings_later();
   /// False when all connections that may be held are in use.
   bool make_room();
-  /// The idle connection whose tenant asks least for each that it holds; of those that are alike, the one
-  /// used least lately. There must be one.
-  [[nodiscard]] std::deque<std::unique_ptr<PooledConnection>>::iterator least_wanted_idle();
   void open_when_needed();
   void open_ahead(core::Instant now);
   void give_back_borrowed(core::Instant now);
@@ -175,7 +139,11 @@
   void on_open_failed(const core::Error& error);
   /// Takes the one that goes next among those that an idle connection will do for; null: none.
   std::shared_ptr<PoolWaiter> take_next_waiter();
+  [[nodiscard]] StatementsUnderWay under_way() const;
   [[nodiscard]] bool may_run_another() const;
+  [[nodiscard]] bool may_hand_out() const;
+  void begin_in_transaction() { ++running_in_transactions_; }
+  void end_in_transaction();
   void serve_waiters();
   void hand_out(std::unique_ptr<PooledConnection> connection);
   void take_back(std::unique_ptr<PooledConnection> connection, bool reusable);
@@ -193,17 +161,22 @@
   ConnectionShare share_;
   std::uint32_t slots_ = 1;
   ConcurrencyLimit concurrency_;
-  std::size_t transactions_ = 0;  ///< Connections in use that are in one.
+  std::size_t transactions_ = 0;             ///< Connections in use that are in one.
+  std::size_t running_in_transactions_ = 0;  ///< Statements under way on them.
   bool closed_ = false;
   std::size_t opening_ = 0;
   std::map<core::TenantName, std::size_t> opening_for_;  ///< Of them, by tenant.
   bool last_open_failed_ = false;
   core::Instant next_open_{};
+  boost::asio::steady_timer openings_check_;
+  bool openings_check_set_ = false;
   core::Instant next_warm_up_{};
   core::Duration borrowed_idle_limit_;  ///< A borrowed connection that is idle for this long is closed.
-  std::deque<std::unique_ptr<PooledConnection>> idle_;  ///< The one used last is at the back.
+  IdleConnections idle_;
   std::set<PooledConnection*> in_use_;
-  std::list<std::shared_ptr<PoolWaiter>> waiters_;  ///< By priority, then order of arrival.
+  StatementLine line_;
+  std::map<WaiterNumber, std::shared_ptr<PoolWaiter>> waiters_;  ///< Those in the line.
+  WaiterNumber last_waiter_ = 0;
   core::Duration usual_latency_;
   bool latency_noted_ = false;  ///< Since the last tick.
   core::Duration usual_opening_;
--- a/tests/pooling/backend_pool_test.cpp
+++ b/tests/pooling/backend_pool_test.cpp
@@ -166,6 +166,53 @@
   ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return late->done(); }));
 }
 
+TEST_F(BackendPoolTest, AFullLineLosesItsLeastUrgentOneAtOnce) {
+  pool_->set_share(ConnectionShare{1, 1, std::chrono::hours(1), 1, 1});
+  auto first = acquire();
+  const auto cheap = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request(20'000, 2)));
+  std::vector<std::shared_ptr<pipitpond::testing::Pending<core::Result<ConnectionLease>>>> others;
+  for (std::size_t number = 1; number < kMostWaitingForEachSlot; ++number) {
+    others.push_back(pipitpond::testing::start(io_, BackendPool::acquire(pool_, request(20'000, 1))));
+  }
+  pipitpond::testing::run_until(io_, [this] { return pool_->waiting() == kMostWaitingForEachSlot; });
+  EXPECT_FALSE(cheap->done());
+  const auto urgent = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request(20'000, 0)));
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return cheap->done(); }));
+  ASSERT_FALSE(cheap->value->has_value());
+  EXPECT_EQ(cheap->value->error().kind, core::ErrorKind::kNoCapacity);
+  EXPECT_EQ(pool_->counters().displaced, 1U);
+  const auto last = acquire(request(20'000, 2));
+  ASSERT_FALSE(last);
+  EXPECT_EQ(last.error().kind, core::ErrorKind::kNoCapacity);
+  EXPECT_EQ(pool_->counters().line_full, 1U);
+  EXPECT_EQ(pool_->waiting(), kMostWaitingForEachSlot);
+  { const ConnectionLease given_back = std::move(first.value()); }
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return urgent->done(); }));
+  EXPECT_TRUE(urgent->value->has_value());
+  pool_->close();
+  pipitpond::testing::run_until(io_, [&] { return others.back()->done(); });
+}
+
+TEST_F(BackendPoolTest, AStatementOfATransactionTakesRoomAndARestingTransactionTakesNone) {
+  pool_->set_share(ConnectionShare{3, 3, std::chrono::hours(1), 1, 1});
+  auto transaction = acquire();
+  Statement begin;
+  begin.kind = StatementKind::kBegin;
+  ASSERT_TRUE(pipitpond::testing::run(io_, transaction.value().run_own(begin, milliseconds(500))));
+  EXPECT_TRUE(acquire().has_value()) << "the transaction rests";
+  connector_.database("a").work = milliseconds(60);
+  Statement read;
+  const auto runs = pipitpond::testing::start(io_, transaction.value().run_own(read, milliseconds(5000)));
+  const auto waits = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request(5000)));
+  pipitpond::testing::run_until(io_, [&] { return pool_->waiting() == 1 || waits->done(); });
+  EXPECT_FALSE(waits->done()) << "the transaction's statement has the only room";
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] {
+    EXPECT_TRUE(runs->done() || !waits->done());
+    return waits->done();
+  }));
+  EXPECT_TRUE(waits->value->has_value());
+}
+
 TEST_F(BackendPoolTest, ADatabaseThatRefusesFailsThoseThatWaitAtOnce) {
   connector_.database("a").refuses_connections = true;
   const core::Instant before = core::BootClock::now();
@@ -224,6 +271,35 @@
   EXPECT_TRUE(waits->value->has_value()) << "the idle connection of t2 made room";
 }
 
+TEST_F(BackendPoolTest, AStatementWaitsForItsTenantsConnectionThatIsInUse) {
+  auto first = acquire(request_of("t1"));
+  const auto waits = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request_of("t1")));
+  pipitpond::testing::run_until(io_, [this] { return pool_->waiting() == 1; });
+  { const ConnectionLease given_back = std::move(first.value()); }
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return waits->done(); }));
+  EXPECT_TRUE(waits->value->has_value());
+  EXPECT_EQ(connector_.database("a").connections_opened, 1);
+  EXPECT_EQ(pool_->counters().waited_instead, 1U);
+}
+
+TEST_F(BackendPoolTest, AStatementDoesNotWaitForATransactionOfItsTenant) {
+  auto resting = acquire(request_of("t1"));
+  Statement begin;
+  begin.kind = StatementKind::kBegin;
+  ASSERT_TRUE(pipitpond::testing::run(io_, resting.value().run_own(begin, milliseconds(100))).has_value());
+  EXPECT_TRUE(acquire(request_of("t1")).has_value());
+  EXPECT_EQ(connector_.database("a").connections_opened, 2);
+  EXPECT_EQ(pool_->counters().waited_instead, 0U);
+}
+
+TEST_F(BackendPoolTest, AStatementDoesNotWaitLongForAConnectionThatIsOverdue) {
+  const auto overdue = acquire(request_of("t1"));
+  const core::Instant before = core::BootClock::now();
+  EXPECT_TRUE(acquire(request_of("t1", 5000)).has_value());
+  EXPECT_LT(core::BootClock::now() - before, milliseconds(2000));
+  EXPECT_EQ(connector_.database("a").connections_opened, 2);
+}
+
 TEST_F(BackendPoolTest, StatementsOfManyTenantsNeverMeetOnOneConnection) {
   std::vector<std::shared_ptr<pipitpond::testing::Pending<core::Result<ConnectionLease>>>> pending;
   for (int round = 0; round < 40; ++round) {
