Give quota operations back that surely did not run

Cause: each return of a statement took another operation, also when the first one had found no connection, so that a tenant below its limit ran out of operations under a shortage of connections. Ruled out: adding a token to the bucket (a bucket that was full meanwhile gives more than capacity + rate x window: the new QuotaBucket test fails with that change, at its first histories); keeping the operation at the daemon. Change: tokens have numbers. A bucket remembers those of the last 600 ms and plays them again without the one that comes back, as if it had never been taken. Daemons tell them with their next question to that home. A statement that was sent anywhere and not refused by the database gives nothing back. Counted in metrics. Figures: the promise holds in 3000 histories of a bucket (exact) and 500 of a fleet with late, doubled and lost returns, restarts and losses of power.

--- a/src/pooling/caller_access.cpp
+++ b/src/pooling/caller_access.cpp
@@ -1,5 +1,6 @@
 #include "pooling/caller_access.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -47,13 +48,28 @@
 awaitable<QuotaAnswer> CallerAccess::take_operation(core::TenantName tenant) {
   const protocol::Tenant* known = directory_.find(tenant);
   if (known == nullptr || !known->quota) {
-    co_return QuotaAnswer{QuotaOutcome::kGranted, {}};
+    QuotaAnswer unlimited;
+    unlimited.outcome = QuotaOutcome::kGranted;
+    co_return unlimited;
   }
   std::vector<core::DaemonId> homes = homes_.of(tenant);
   co_return co_await asker_.take(std::move(homes), std::move(tenant), take_own_);
 }
 
+void CallerAccess::give_back(const QuotaReceipt& receipt) {
+  if (receipt.home == self_) {
+    home_.give_back(core::BootClock::now(), receipt.operation.tenant, receipt.operation.number);
+  } else {
+    asker_.give_back(receipt);
+  }
+}
+
 QuotaReply CallerAccess::answer(core::Instant now, const QuotaRequest& request) {
+  const std::size_t given_back = std::min(request.given_back.size(), kMostGivenBack);
+  for (std::size_t index = 0; index < given_back; ++index) {
+    const GivenBackOperation& operation = request.given_back[index];
+    home_.give_back(now, operation.tenant, operation.number);
+  }
   return reply_of(home_.take(now, request.tenant, agent_.complete_until()));
 }
 
--- a/src/pooling/caller_access.hpp
+++ b/src/pooling/caller_access.hpp
@@ -50,6 +50,9 @@
   /// Takes the right to run one operation of a tenant: kGranted at once for those without a quota.
   boost::asio::awaitable<QuotaAnswer> take_operation(core::TenantName tenant);
 
+  /// An operation that was taken surely did not run.
+  void give_back(const QuotaReceipt& receipt);
+
   /// Answers another daemon that takes this one for a tenant's home.
   [[nodiscard]] QuotaReply answer(core::Instant now, const QuotaRequest& request);
 
--- a/src/pooling/caller_session.hpp
+++ b/src/pooling/caller_session.hpp
@@ -90,6 +90,8 @@
     std::set<core::DatabaseId> avoided;
     std::optional<core::LogPosition> after;  ///< That the log of the database last asked had to reach.
     std::uint32_t failed_reads = 0;
+    std::optional<QuotaReceipt> quota;  ///< Of the operation that its tenant's homes granted.
+    bool may_have_run = false;          ///< At some database, whatever the answer says.
     Failure last_failure;
     core::Duration pause{};  ///< Before the next attempt.
     /// A read's position must still cover its staleness after this time: how long it may wait elsewhere.
@@ -113,6 +115,8 @@
   std::optional<StatementReply> refuse_key(Search& search) const;
   std::optional<StatementReply> refuse_key_in_transaction(const Statement& statement);
   boost::asio::awaitable<StatementReply> search_until_answered(Search& search);
+  /// Gives the tenant's operation back when the statement surely did not run anywhere.
+  void give_back_if_not_run(const Search& search, const StatementReply& reply) const;
   void write_trace(const Search& search, const StatementReply& reply) const;
   void write_transaction_failure(const Statement& statement, core::Instant sent,
                                  const TransactionPlace& place, TraceEvent event,
--- a/src/pooling/caller_session_access.cpp
+++ b/src/pooling/caller_session_access.cpp
@@ -54,12 +54,20 @@
   return refusal_of(access.verdict);
 }
 
+void CallerSession::give_back_if_not_run(const Search& search, const StatementReply& reply) const {
+  const bool not_run = reply.failure && surely_not_run(reply.failure->code) && !search.may_have_run;
+  if (search.quota && not_run) {
+    services_.access.give_back(*search.quota);
+  }
+}
+
 awaitable<std::optional<StatementReply>> CallerSession::refuse_or_admit(Search& search) {
   if (auto refusal = refuse_key(search)) {
     co_return refusal;
   }
   const QuotaAnswer answer = co_await services_.access.take_operation(search.access.tenant);
   if (answer.outcome == QuotaOutcome::kGranted) {
+    search.quota = answer.receipt;
     co_return std::nullopt;
   }
   services_.access.count(answer);
--- a/src/pooling/caller_session_search.cpp
+++ b/src/pooling/caller_session_search.cpp
@@ -71,6 +71,7 @@
     co_return std::move(*refusal);
   }
   StatementReply reply = co_await search_until_answered(*search);
+  give_back_if_not_run(*search, reply);
   write_trace(*search, reply);
   co_return reply;
 }
@@ -236,6 +237,7 @@
     co_return on_lost(search, choice, ran.error());
   }
   StatementReply reply = std::move(ran.value());
+  search.may_have_run |= !reply.failure || !surely_not_run(reply.failure->code);
   if (reply.position) {
     services_.backends.note_position(search.route.group, choice, sent, now, *reply.position);
   }
@@ -282,6 +284,7 @@
   if (error.kind == core::ErrorKind::kConnectionRefused) {
     return std::nullopt;
   }
+  search.may_have_run = true;
   if (may_write(search.statement)) {
     return failed_reply(FailureCode::kUnsure, error.message, TransactionState::kIdle);
   }
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -116,6 +116,14 @@
       .increment(number(access.quota_counters().asked));
   registry.counter("pipitpond_access_quota_unanswered_total", "Those of them that got no answer in time.")
       .increment(number(access.quota_counters().unanswered));
+  registry
+      .counter("pipitpond_access_quota_given_back_total",
+               "Operations that surely did not run and that this daemon told to other daemons.")
+      .increment(number(access.quota_counters().given_back));
+  registry
+      .counter("pipitpond_access_home_given_back_total",
+               "Operations that came back in time to this daemon as a tenant's home.")
+      .increment(number(access.home().given_back()));
   registry
       .gauge("pipitpond_access_proof_age_seconds",
              "Since the moment up to which the configuration is known to be complete.")
--- a/src/pooling/quota_asker.cpp
+++ b/src/pooling/quota_asker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "wire/codec.hpp"
@@ -12,8 +13,20 @@
 
 namespace {
 
-std::string request_body(core::TenantName tenant) {
-  return wire::pack(QuotaRequest{std::move(tenant)});
+// Not part of the coroutine: GCC 12 destroys a temporary of such an initializer twice there.
+std::string request_body(core::TenantName tenant, std::vector<GivenBackOperation> given_back) {
+  return wire::pack(QuotaRequest{std::move(tenant), std::move(given_back)});
+}
+
+/// The answer to an operation that `home` granted.
+QuotaAnswer granted_by(const core::DaemonId& home, const core::TenantName& tenant,
+                       tenancy::TokenNumber number) {
+  QuotaAnswer answer;
+  answer.outcome = QuotaOutcome::kGranted;
+  if (number != 0) {
+    answer.receipt = QuotaReceipt{home, GivenBackOperation{tenant, number}};
+  }
+  return answer;
 }
 
 }  // namespace
@@ -39,7 +52,8 @@
 
 awaitable<QuotaAnswer> QuotaAsker::take(std::vector<core::DaemonId> homes, core::TenantName tenant,
                                         const TakeOwn& take_own) {
-  QuotaAnswer answer{QuotaOutcome::kNotTold, kQuotaComeBack};
+  QuotaAnswer answer;
+  answer.retry_in = kQuotaComeBack;
   const auto note_empty = [&answer](core::Duration retry_in) {
     const bool first = answer.outcome == QuotaOutcome::kNotTold;
     answer.retry_in = first ? retry_in : std::min(answer.retry_in, retry_in);
@@ -50,7 +64,7 @@
     if (home == self_) {
       const tenancy::QuotaGrant grant = take_own(tenant);
       if (grant.granted) {
-        co_return QuotaAnswer{QuotaOutcome::kGranted, {}};
+        co_return granted_by(home, tenant, grant.number);
       }
       if (grant.is_home) {
         note_empty(grant.retry_in);
@@ -82,7 +96,7 @@
       continue;
     }
     if (reply.value().granted) {
-      co_return QuotaAnswer{QuotaOutcome::kGranted, {}};
+      co_return granted_by(home, tenant, reply.value().number);
     }
     const core::Duration retry_in = std::chrono::milliseconds(reply.value().retry_in_ms);
     link->empty_until[tenant] = answered + retry_in;
@@ -91,13 +105,24 @@
   co_return answer;
 }
 
+void QuotaAsker::give_back(QuotaReceipt receipt) {
+  const auto found = links_.find(receipt.home);
+  if (found == links_.end() || found->second->given_back.size() >= kMostGivenBack) {
+    return;
+  }
+  ++counters_.given_back;
+  Link& link = *found->second;
+  link.empty_until.erase(receipt.operation.tenant);  // There is one again.
+  link.given_back.push_back(std::move(receipt.operation));
+}
+
 awaitable<core::Result<QuotaReply>> QuotaAsker::ask(LinkPointer link, core::TenantName tenant) {
   if (!link->channel) {
     link->channel = wire::Channel::create(io_, link->endpoint);
   }
   ++counters_.asked;
   const std::shared_ptr<wire::Channel> channel = link->channel;
-  std::string body = request_body(std::move(tenant));
+  std::string body = request_body(std::move(tenant), std::exchange(link->given_back, {}));
   const auto answer = co_await channel->call(wire::MessageType::kQuota, std::move(body), kQuotaTimeout);
   if (!answer) {
     ++counters_.unanswered;
--- a/src/pooling/quota_asker.hpp
+++ b/src/pooling/quota_asker.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "core/clock.hpp"
@@ -21,22 +22,31 @@
 
 namespace pipitpond::pooling {
 
-/// What came of a question.
+/// What came of asking.
 enum class QuotaOutcome : std::uint8_t {
   kGranted,
   kOverQuota,  ///< At least one home has none left, and no other one gave any.
   kNotTold,    ///< No home could be asked.
 };
 
+/// Where an operation was granted, to give it back.
+struct QuotaReceipt {
+  core::DaemonId home;
+  GivenBackOperation operation;
+};
+
+/// A home's answer, or what came of asking all of them.
 struct QuotaAnswer {
   QuotaOutcome outcome = QuotaOutcome::kNotTold;
-  core::Duration retry_in{};  ///< Not granted: when to come back.
+  core::Duration retry_in{};            ///< Not granted: when to come back.
+  std::optional<QuotaReceipt> receipt;  ///< Of an operation that can be given back.
 };
 
 /// Counts since the start.
 struct QuotaCounters {
   std::uint64_t asked = 0;  ///< Questions to other daemons.
   std::uint64_t unanswered = 0;
+  std::uint64_t given_back = 0;  ///< Operations that surely did not run, told to other daemons.
 };
 
 /// Grants an operation where this daemon itself is the home.
@@ -53,6 +63,10 @@
   boost::asio::awaitable<QuotaAnswer> take(std::vector<core::DaemonId> homes, core::TenantName tenant,
                                            const TakeOwn& take_own);
 
+  /// An operation that another daemon granted surely did not run. The next question to that daemon tells it;
+  /// where none goes out in time, the operation is lost.
+  void give_back(QuotaReceipt receipt);
+
   [[nodiscard]] const QuotaCounters& counters() const { return counters_; }
 
  private:
@@ -63,6 +77,7 @@
     core::Instant avoided_until{};           ///< It did not answer.
     std::map<core::TenantName, core::Instant> empty_until;
     std::map<core::TenantName, core::Instant> no_home_until;  ///< It said that it is no home of theirs.
+    std::vector<GivenBackOperation> given_back;               ///< To be told; kMostGivenBack at most.
   };
   using LinkPointer = std::shared_ptr<Link>;
 
--- a/src/tenancy/quota_home.cpp
+++ b/src/tenancy/quota_home.cpp
@@ -1,6 +1,7 @@
 #include "tenancy/quota_home.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace pipitpond::tenancy {
@@ -65,11 +66,21 @@
   }
   QuotaGrant grant;
   grant.is_home = true;
-  grant.granted = found->second.take(now);
-  if (!grant.granted) {
+  const std::optional<TokenNumber> number = found->second.take(now);
+  grant.granted = number.has_value();
+  if (number) {
+    grant.number = *number;
+  } else {
     grant.retry_in = found->second.time_to_next();
   }
   return grant;
 }
 
+void QuotaHome::give_back(core::Instant now, const core::TenantName& tenant, TokenNumber number) {
+  const auto found = buckets_.find(tenant);
+  if (found != buckets_.end() && found->second.give_back(now, number)) {
+    ++given_back_;
+  }
+}
+
 }  // namespace pipitpond::tenancy
--- a/src/tenancy/quota_home.hpp
+++ b/src/tenancy/quota_home.hpp
@@ -19,6 +19,10 @@
 // that asks for less finds more in each of the homes when its quota is small: a rate of 5, a burst of 5 and
 // three homes make 4.6 operations instead of 1.7. A tenant with a great burst that comes after a rest gets
 // less of it at once, and the rest within the window.
+// - An operation that surely did not run is given back by its token's number. The bucket then stands as if
+// the
+//   token had never been taken (see QuotaBucket), so that the bounds above hold for those that did run. What
+//   comes later than kGiveBackTime, twice, or to another life of the home changes nothing.
 // - A home gives nothing unless it has proved within kHomeProofAge that its configuration is complete. A
 //   daemon that joins and so takes tenants over gives nothing for as long: whoever had them has learnt of it
 //   by then, or has stopped. A silent daemon is removed later than that (after its lease and the databases'
@@ -76,6 +80,7 @@
   bool granted = false;
   bool is_home = false;       ///< False: ask another daemon.
   core::Duration retry_in{};  ///< Not granted by a home: when there may be a token.
+  TokenNumber number = 0;     ///< Granted: by which it can be given back.
 };
 
 /// The buckets of the tenants that this daemon is a home of.
@@ -92,6 +97,11 @@
   /// `complete_until`: up to when this daemon's configuration is known to be complete.
   QuotaGrant take(core::Instant now, const core::TenantName& tenant, core::Instant complete_until);
 
+  /// An operation that this home granted surely did not run.
+  void give_back(core::Instant now, const core::TenantName& tenant, TokenNumber number);
+
+  /// Operations that came back in time, since the start.
+  [[nodiscard]] std::uint64_t given_back() const { return given_back_; }
   /// Tokens left by tenant, for metrics.
   [[nodiscard]] const std::map<core::TenantName, QuotaBucket>& buckets() const { return buckets_; }
 
@@ -104,6 +114,7 @@
   protocol::Revision live_since_ = 0;
   core::Instant rests_until_{};  ///< Whoever was home before this daemon joined may give until then.
   std::map<core::TenantName, QuotaBucket> buckets_;
+  std::uint64_t given_back_ = 0;
 };
 
 }  // namespace pipitpond::tenancy
--- a/tests/pooling/caller_access_test.cpp
+++ b/tests/pooling/caller_access_test.cpp
@@ -178,6 +178,69 @@
   EXPECT_EQ(counters_.failures.at(static_cast<std::size_t>(FailureCode::kOverQuota)), 1U);
 }
 
+class GivenBackTest : public CallerAccessTest {
+ protected:
+  GivenBackTest() {
+    protocol::Configuration configuration = configuration_with_tenants(protocol::TenantQuota{100, 100});
+    configuration.routes.version = 3;
+    configuration.daemons.begin()->second.live_since = 1;
+    configuration.daemons.begin()->second.revision = 4;
+    apply(configuration);
+  }
+  [[nodiscard]] std::uint64_t given_back() const { return access_.home().given_back(); }
+};
+
+TEST_F(GivenBackTest, AnOperationThatFoundNoConnectionGoesBackToItsHome) {
+  connector_.database("a").refuses_connections = true;
+  const StatementReply reply = read(*session("k1"));
+  ASSERT_TRUE(reply.failure);
+  EXPECT_TRUE(surely_not_run(reply.failure->code));
+  EXPECT_EQ(given_back(), 1U);
+}
+
+TEST_F(GivenBackTest, AnOperationThatTheDatabaseRefusedGoesBackToItsHome) {
+  constexpr std::size_t kMoreThanAreTried = 10'000;
+  connector_.database("a").next_failures.assign(kMoreThanAreTried, FailureCode::kBusy);
+  const StatementReply reply = read(*session("k1"));
+  ASSERT_TRUE(reply.failure);
+  EXPECT_TRUE(surely_not_run(reply.failure->code));
+  EXPECT_EQ(given_back(), 1U);
+}
+
+TEST_F(GivenBackTest, WhatRanDoesNotGoBack) {
+  EXPECT_FALSE(read(*session("k1")).failure);
+  EXPECT_EQ(given_back(), 0U);
+}
+
+TEST_F(GivenBackTest, WhatMayHaveRunDoesNotGoBack) {
+  connector_.database("a").break_after_running = true;
+  const StatementReply write = run(*session("k1"), example_statement(StatementKind::kWrite, "thing data"));
+  EXPECT_EQ(write.failure->code, FailureCode::kUnsure);
+  EXPECT_EQ(given_back(), 0U);
+}
+
+TEST_F(GivenBackTest, AReadThatRanAndThenFoundNoConnectionDoesNotGoBack) {
+  constexpr std::size_t kMoreThanAreTried = 10'000;
+  std::vector<FailureCode>& failures = connector_.database("a").next_failures;
+  failures.assign(kMoreThanAreTried, FailureCode::kBusy);
+  failures.front() = FailureCode::kFailed;
+  const StatementReply reply = read(*session("k1"));
+  ASSERT_TRUE(reply.failure);
+  EXPECT_EQ(given_back(), 0U);
+}
+
+TEST_F(GivenBackTest, AHomeTakesBackWhatAnotherDaemonTellsWithItsNextQuestionOnce) {
+  const core::TenantName tenant("t1");
+  const core::Instant now = core::BootClock::now();
+  agent_.complete = now;
+  const QuotaReply first = access_.answer(now, QuotaRequest{tenant, {}});
+  ASSERT_TRUE(first.granted);
+  const GivenBackOperation unused{tenant, first.number};
+  EXPECT_TRUE(access_.answer(now, QuotaRequest{tenant, {unused, unused}}).granted);
+  EXPECT_TRUE(access_.answer(now, QuotaRequest{tenant, {unused}}).granted);
+  EXPECT_EQ(given_back(), 1U);
+}
+
 TEST_F(CallerAccessTest, ADaemonThatJustJoinedGivesNothingAsAHome) {
   protocol::Configuration configuration = configuration_with_tenants(protocol::TenantQuota{100, 100});
   configuration.routes.version = 3;
@@ -189,7 +252,7 @@
   EXPECT_EQ(access_.counters().quota_not_told, 1U);
   const core::Instant later = core::BootClock::now() + tenancy::kHomeProofAge;
   agent_.complete = later;
-  EXPECT_TRUE(access_.answer(later, QuotaRequest{core::TenantName("t1")}).granted);
+  EXPECT_TRUE(access_.answer(later, QuotaRequest{core::TenantName("t1"), {}}).granted);
 }
 
 }  // namespace
--- a/tests/tenancy/quota_model_test.cpp
+++ b/tests/tenancy/quota_model_test.cpp
@@ -116,6 +116,7 @@
       talk_to_control(daemon);
     }
     drop_silent();
+    give_back_due();
     due_ += operations_per_s * std::chrono::duration<double>(kStep).count();
     while (due_ >= 1) {
       due_ -= 1;
@@ -139,6 +140,9 @@
     }
   }
 
+  /// This part of the operations does not run: each is given back, late, twice or never.
+  void let_fail(double part) { failing_part_ = part; }
+
   void kill(std::size_t daemon) { daemons_[daemon].running = false; }
 
   [[nodiscard]] double most_in_window() const { return most_in_window_; }
@@ -230,7 +234,12 @@
       if (!home.running || home.frozen) {
         continue;
       }
-      if (home.home->take(now_, kTenant, home.complete_until).granted) {
+      const QuotaGrant grant = home.home->take(now_, kTenant, home.complete_until);
+      if (grant.granted && fails()) {
+        plan_return(home.id, grant.number);
+        return;
+      }
+      if (grant.granted) {
         ran_at_.push_back(now_);
         ++ran_;
         return;
@@ -239,6 +248,36 @@
     ++(rightful ? refused_wrongly_ : refused_rightfully_);
   }
 
+  /// An operation on its way back to the home that granted it.
+  struct Return {
+    core::DaemonId home;
+    TokenNumber number = 0;
+  };
+
+  bool fails() { return failing_part_ > 0 && std::bernoulli_distribution(failing_part_)(random_); }
+
+  void plan_return(const core::DaemonId& home, TokenNumber number) {
+    const auto most = std::chrono::duration_cast<milliseconds>(kGiveBackTime * 3 / 2);
+    const std::uint64_t copies = random_() % 10;  // None, one, or two.
+    const int sent = copies == 0 ? 0 : (copies == 1 ? 2 : 1);
+    for (int copy = 0; copy < sent; ++copy) {
+      const core::Instant at = now_ + milliseconds(random_() % most.count());
+      returns_.emplace(at, Return{home, number});
+    }
+  }
+
+  void give_back_due() {
+    while (!returns_.empty() && returns_.begin()->first <= now_) {
+      const Return one = returns_.begin()->second;
+      returns_.erase(returns_.begin());
+      Daemon& home = *std::find_if(daemons_.begin(), daemons_.end(),
+                                   [&](const Daemon& daemon) { return daemon.id == one.home; });
+      if (home.running && !home.frozen) {
+        home.home->give_back(now_, kTenant, one.number);
+      }
+    }
+  }
+
   /// What one bucket for all would grant.
   void refill_reference() {
     const double seconds = std::chrono::duration<double>(now_ - reference_filled_).count();
@@ -260,6 +299,8 @@
   std::vector<Daemon> daemons_;
   core::Instant now_{std::chrono::hours(1)};
   std::optional<std::size_t> only_;
+  double failing_part_ = 0;
+  std::multimap<core::Instant, Return> returns_;
   double due_ = 0;
   double reference_ = 0;
   core::Instant reference_filled_{std::chrono::hours(1)};
@@ -315,6 +356,144 @@
   }
 }
 
+TEST(QuotaModel, OperationsThatAreGivenBackLetNoMoreRunThanIsPermitted) {
+  constexpr std::uint64_t kHistories = 500;
+  constexpr int kSeconds = 16;
+  for (std::uint64_t seed = 1; seed <= kHistories; ++seed) {
+    const protocol::TenantQuota quota = seed % 2 == 0 ? kLarge : kSmall;
+    Fleet fleet(seed, 9, quota);
+    play(fleet, 0, std::chrono::seconds(8), false);
+    std::mt19937_64 random(seed);
+    for (int second = 0; second < kSeconds; ++second) {
+      // Many fail for a while, demand is low or high: a bucket is full, and is then asked for all it has.
+      fleet.let_fail(static_cast<double>(random() % 10) / 10);
+      const double times_the_rate = static_cast<double>(random() % 80) / 10;
+      play(fleet, times_the_rate * quota.rate_per_s, std::chrono::seconds(1), seed % 4 < 2);
+      if (random() % 10 == 0) {
+        fleet.lose_power();
+      }
+    }
+    ASSERT_LE(fleet.most_in_window(), permitted(quota)) << "seed " << seed;
+  }
+}
+
+TEST(QuotaModel, WhatIsGivenBackRunsLater) {
+  Fleet fleet(3, 9, kLarge);
+  play(fleet, 0, std::chrono::seconds(8), false);
+  fleet.let_fail(0.5);
+  play(fleet, 2000, std::chrono::seconds(20), false);
+  // Of those that fail, three fifths come back in time; without a way back half of the limit would run.
+  EXPECT_GE(fleet.ran(), 20 * 200 * 3 / 4);
+  EXPECT_LE(fleet.most_in_window(), permitted(kLarge));
+}
+
+/// A bucket of 3 that fills with 10 a second, full.
+class QuotaBucketTest : public ::testing::Test {
+ protected:
+  core::Instant at(int after_ms) const { return start_ + milliseconds(after_ms); }
+  int take_all(core::Instant now) {
+    int taken = 0;
+    while (bucket_.take(now)) {
+      ++taken;
+    }
+    return taken;
+  }
+
+  core::Instant start_{std::chrono::hours(1)};
+  QuotaBucket bucket_{start_, BucketLimits{10, 3}, 3};
+};
+
+TEST_F(QuotaBucketTest, ATokenThatComesBackCanBeTakenAgainOnce) {
+  const auto number = bucket_.take(at(0));
+  EXPECT_EQ(take_all(at(0)), 2);
+  EXPECT_TRUE(bucket_.give_back(at(20), *number));
+  EXPECT_FALSE(bucket_.give_back(at(20), *number)) << "doubled";
+  EXPECT_EQ(take_all(at(20)), 1);
+}
+
+TEST_F(QuotaBucketTest, WhatComesBackLateOrWasNeverGivenChangesNothing) {
+  const auto number = bucket_.take(at(0));
+  EXPECT_FALSE(bucket_.give_back(at(20), *number + 1000));
+  const int late = static_cast<int>(core::to_millis(kGiveBackTime)) + 1;
+  EXPECT_FALSE(bucket_.give_back(at(late), *number));
+  EXPECT_EQ(take_all(at(late)), 3) << "it had filled meanwhile";
+}
+
+TEST_F(QuotaBucketTest, ABucketThatWouldHaveBeenFullMeanwhileHasNoRoomForIt) {
+  const auto number = bucket_.take(at(0));
+  EXPECT_EQ(take_all(at(100)), 3);  // Full again: without the first one, what flowed in would have been lost.
+  EXPECT_TRUE(bucket_.give_back(at(100), *number));
+  EXPECT_EQ(take_all(at(100)), 0);
+}
+
+TEST_F(QuotaBucketTest, TokensThatComeBackUnderOtherLimitsAreLost) {
+  const auto number = bucket_.take(at(0));
+  bucket_.set_limits(at(10), BucketLimits{10, 4});
+  EXPECT_FALSE(bucket_.give_back(at(20), *number));
+}
+
+TEST_F(QuotaBucketTest, NumbersOfALaterLifeAreOthers) {
+  const auto number = bucket_.take(at(0));
+  QuotaBucket next(at(10), BucketLimits{10, 3}, 3);
+  EXPECT_GT(*next.take(at(10)), *number);
+  EXPECT_FALSE(next.give_back(at(20), *number));
+}
+
+/// Tokens that were given, in order; those that came back in time are struck out.
+class GivenTokens {
+ public:
+  void add(core::Instant now, TokenNumber number) { given_.emplace(number, now); }
+  void strike_out(TokenNumber number) { given_.erase(number); }
+
+  /// True when no span sees more of them than `capacity + rate x span`: from each token to each later one.
+  [[nodiscard]] bool fit(const BucketLimits& limits) const {
+    double room = limits.capacity;  // Of the strictest span that ends now.
+    std::optional<core::Instant> last;
+    for (const auto& [number, at] : given_) {
+      const double seconds = last ? std::chrono::duration<double>(at - *last).count() : 0;
+      room = std::min(limits.capacity, room + seconds * limits.rate_per_s) - 1;
+      last = at;
+      constexpr double kRounding = 1e-6;
+      if (room < -kRounding) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+ private:
+  std::map<TokenNumber, core::Instant> given_;
+};
+
+TEST(QuotaBucket, WhateverComesBackTheRestFitsEveryWindow) {
+  constexpr std::uint64_t kHistories = 3000;
+  constexpr int kSteps = 600;
+  for (std::uint64_t seed = 1; seed <= kHistories; ++seed) {
+    std::mt19937_64 random(seed);
+    const BucketLimits limits{static_cast<double>(1 + random() % 300),
+                              1 + static_cast<double>(random() % 40)};
+    core::Instant now{std::chrono::hours(1)};
+    QuotaBucket bucket(now, limits, limits.capacity);
+    GivenTokens kept;
+    std::vector<TokenNumber> given{1};
+    for (int step = 0; step < kSteps; ++step) {
+      now += std::chrono::microseconds(random() % 2 == 0 ? 0 : random() % 100'000);
+      const bool returns = random() % 3 == 0;
+      // Often one of the last, so that it comes in time.
+      const std::size_t back = std::min<std::size_t>(random() % 30, given.size() - 1);
+      const TokenNumber number = given[given.size() - 1 - back];
+      if (returns && bucket.give_back(now, number)) {
+        kept.strike_out(number);
+      }
+      if (const auto taken = returns ? std::nullopt : bucket.take(now)) {
+        kept.add(now, *taken);
+        given.push_back(*taken);
+      }
+    }
+    ASSERT_TRUE(kept.fit(limits)) << "seed " << seed;
+  }
+}
+
 TEST(QuotaModel, WithoutFaultsNothingBelowTheQuotaIsRefused) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     const protocol::TenantQuota quota = seed % 2 == 0 ? kLarge : kSmall;
@@ -368,7 +547,7 @@
     const std::size_t near = zone(random);
     bool granted = false;
     for (std::size_t next = 0; next < homes.size() && !granted; ++next) {
-      granted = homes[(near + next) % homes.size()].take(now);
+      granted = homes[(near + next) % homes.size()].take(now).has_value();
     }
     ++(granted ? result.granted : result.refused);
   }
