Ask quota homes in turns, and together while one has none left

Cause: with a tenant far over its limit each refused caller was told when the bucket has its next token, often below 1 ms (rounded down to 0: no pause at all), and each of its returns asked all three homes. Change: a home tells each daemon a turn by the backlog of refused questions; callers that come while a question is under way share the next one, but only for a second after a refusal, so that nothing changes without a shortage. What is asked for is only for callers that wait: the promise stands as it was.

--- a/src/pooling/caller_access.cpp
+++ b/src/pooling/caller_access.cpp
@@ -70,7 +70,7 @@
     const GivenBackOperation& operation = request.given_back[index];
     home_.give_back(now, operation.tenant, operation.number);
   }
-  return reply_of(home_.take(now, request.tenant, agent_.complete_until()));
+  return reply_of(home_.take(now, request.tenant, agent_.complete_until(), request.operations));
 }
 
 void CallerAccess::count(tenancy::Verdict verdict) {
--- a/src/pooling/quota_asker.cpp
+++ b/src/pooling/quota_asker.cpp
@@ -1,6 +1,10 @@
 #include "pooling/quota_asker.hpp"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,8 +18,9 @@
 namespace {
 
 // Not part of the coroutine: GCC 12 destroys a temporary of such an initializer twice there.
-std::string request_body(core::TenantName tenant, std::vector<GivenBackOperation> given_back) {
-  return wire::pack(QuotaRequest{std::move(tenant), std::move(given_back)});
+std::string request_body(core::TenantName tenant, std::vector<GivenBackOperation> given_back,
+                         std::uint32_t operations) {
+  return wire::pack(QuotaRequest{std::move(tenant), std::move(given_back), operations});
 }
 
 /// The answer to an operation that `home` granted.
@@ -60,51 +65,130 @@
     answer.outcome = QuotaOutcome::kOverQuota;
   };
   for (const core::DaemonId& home : homes) {
-    const core::Instant now = core::BootClock::now();
+    CallersShare share;
     if (home == self_) {
-      const tenancy::QuotaGrant grant = take_own(tenant);
-      if (grant.granted) {
-        co_return granted_by(home, tenant, grant.number);
-      }
-      if (grant.is_home) {
-        note_empty(grant.retry_in);
-      }
-      continue;
-    }
-    const auto found = links_.find(home);
-    if (found == links_.end() || now < found->second->avoided_until) {
-      continue;
-    }
-    const LinkPointer link = found->second;
-    const auto empty = link->empty_until.find(tenant);
-    if (empty != link->empty_until.end() && now < empty->second) {
-      note_empty(empty->second - now);
-      continue;
+      share = take_own_share(tenant, take_own);
+    } else if (const auto found = links_.find(home); found != links_.end()) {
+      const LinkPointer link = found->second;
+      share = co_await ask_one(link, tenant);
     }
-    const auto disowned = link->no_home_until.find(tenant);
-    if (disowned != link->no_home_until.end() && now < disowned->second) {
-      continue;
-    }
-    const auto reply = co_await ask(link, tenant);
-    const core::Instant answered = core::BootClock::now();
-    if (!reply) {
-      link->avoided_until = answered + kAvoidSilentHome;
-      continue;
-    }
-    if (!reply.value().is_home) {
-      link->no_home_until[tenant] = answered + kAvoidSilentHome;
-      continue;
+    if (share.granted) {
+      co_return granted_by(home, tenant, *share.granted);
     }
-    if (reply.value().granted) {
-      co_return granted_by(home, tenant, reply.value().number);
+    if (share.retry_in) {
+      note_empty(*share.retry_in);
     }
-    const core::Duration retry_in = std::chrono::milliseconds(reply.value().retry_in_ms);
-    link->empty_until[tenant] = answered + retry_in;
-    note_empty(retry_in);
   }
   co_return answer;
 }
 
+QuotaAsker::CallersShare QuotaAsker::take_own_share(const core::TenantName& tenant, const TakeOwn& take_own) {
+  const core::Instant now = core::BootClock::now();
+  const auto empty = own_empty_until_.find(tenant);
+  if (empty != own_empty_until_.end() && now < empty->second) {
+    return CallersShare{{}, empty->second - now};
+  }
+  const tenancy::QuotaGrant grant = take_own(tenant);
+  if (grant.granted > 0) {
+    return CallersShare{grant.first, {}};
+  }
+  if (!grant.is_home) {
+    return CallersShare{};
+  }
+  own_empty_until_[tenant] = now + grant.retry_in;
+  return CallersShare{{}, grant.retry_in};
+}
+
+awaitable<QuotaAsker::CallersShare> QuotaAsker::ask_one(LinkPointer link, core::TenantName tenant) {
+  TenantAtHome& known = link->tenants[tenant];
+  const core::Instant now = core::BootClock::now();
+  if (now < link->avoided_until || now < known.no_home_until) {
+    co_return CallersShare{};
+  }
+  if (now < known.empty_until) {
+    co_return CallersShare{{}, known.empty_until - now};
+  }
+  if (known.asking) {
+    if (!known.gathering) {
+      known.gathering = std::make_shared<Question>(io_);
+    }
+    const QuestionPointer question = known.gathering;
+    const std::uint32_t index = question->operations++;
+    boost::system::error_code cancelled;
+    co_await question->answered.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
+    co_return share_of(*question, index);
+  }
+  const auto question = std::make_shared<Question>(io_);
+  question->operations = 1;
+  if (now < known.short_until) {
+    known.asking = true;
+    co_await ask_for_all(link, tenant, question);
+  } else {
+    question->reply = co_await ask(link, tenant, question->operations);
+    note(*link, tenant, *question->reply);
+  }
+  co_return share_of(*question, 0);
+}
+
+QuotaAsker::CallersShare QuotaAsker::share_of(const Question& question, std::uint32_t index) {
+  if (!question.reply || !*question.reply || !question.reply->value().is_home) {
+    return CallersShare{};
+  }
+  const QuotaReply& reply = question.reply->value();
+  // A daemon that knows of single operations only does not tell how many.
+  const std::uint32_t granted = reply.granted ? std::max(reply.operations, 1U) : 0;
+  if (index < granted) {
+    return CallersShare{reply.number == 0 ? 0 : reply.number + index, {}};
+  }
+  return CallersShare{{}, std::chrono::milliseconds(reply.retry_in_ms)};
+}
+
+awaitable<void> QuotaAsker::ask_for_all(LinkPointer link, core::TenantName tenant, QuestionPointer question) {
+  TenantAtHome& known = link->tenants[tenant];
+  question->reply = co_await ask(link, tenant, question->operations);
+  note(*link, tenant, *question->reply);
+  question->answered.cancel();
+  const QuestionPointer next = std::exchange(known.gathering, nullptr);
+  if (!next) {
+    known.asking = false;
+    co_return;
+  }
+  const core::Instant now = core::BootClock::now();
+  const bool of_use = *question->reply && question->reply->value().is_home;
+  if (of_use && now >= known.empty_until) {
+    // By itself: this coroutine's caller has its answer.
+    boost::asio::co_spawn(io_, ask_for_all(link, tenant, next), boost::asio::detached);
+    co_return;
+  }
+  known.asking = false;
+  next->reply = question->reply;
+  if (of_use) {
+    QuotaReply& refusal = next->reply->value();
+    refusal.granted = false;
+    refusal.operations = 0;
+  }
+  next->answered.cancel();
+}
+
+void QuotaAsker::note(Link& link, const core::TenantName& tenant, const core::Result<QuotaReply>& reply) {
+  const core::Instant now = core::BootClock::now();
+  TenantAtHome& known = link.tenants[tenant];
+  if (!reply) {
+    link.avoided_until = now + kAvoidSilentHome;
+    return;
+  }
+  if (!reply.value().is_home) {
+    known.no_home_until = now + kAvoidSilentHome;
+    return;
+  }
+  const core::Duration retry_in = std::chrono::milliseconds(reply.value().retry_in_ms);
+  if (retry_in > core::Duration::zero()) {
+    known.empty_until = now + retry_in;
+    known.short_until = known.empty_until + kAskTogether;
+  }
+}
+
 void QuotaAsker::give_back(QuotaReceipt receipt) {
   const auto found = links_.find(receipt.home);
   if (found == links_.end() || found->second->given_back.size() >= kMostGivenBack) {
@@ -112,17 +196,18 @@
   }
   ++counters_.given_back;
   Link& link = *found->second;
-  link.empty_until.erase(receipt.operation.tenant);  // There is one again.
+  link.tenants[receipt.operation.tenant].empty_until = {};  // There is one again.
   link.given_back.push_back(std::move(receipt.operation));
 }
 
-awaitable<core::Result<QuotaReply>> QuotaAsker::ask(LinkPointer link, core::TenantName tenant) {
+awaitable<core::Result<QuotaReply>> QuotaAsker::ask(LinkPointer link, core::TenantName tenant,
+                                                    std::uint32_t operations) {
   if (!link->channel) {
     link->channel = wire::Channel::create(io_, link->endpoint);
   }
   ++counters_.asked;
   const std::shared_ptr<wire::Channel> channel = link->channel;
-  std::string body = request_body(std::move(tenant), std::exchange(link->given_back, {}));
+  std::string body = request_body(std::move(tenant), std::exchange(link->given_back, {}), operations);
   const auto answer = co_await channel->call(wire::MessageType::kQuota, std::move(body), kQuotaTimeout);
   if (!answer) {
     ++counters_.unanswered;
--- a/src/pooling/quota_asker.hpp
+++ b/src/pooling/quota_asker.hpp
@@ -5,6 +5,7 @@
 //
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -70,25 +71,62 @@
   [[nodiscard]] const QuotaCounters& counters() const { return counters_; }
 
  private:
+  /// A question to a home for all callers that wait for its answer.
+  struct Question {
+    explicit Question(boost::asio::io_context& io)
+        : answered(io, boost::asio::steady_timer::time_point::max()) {}
+
+    std::uint32_t operations = 0;  ///< One for each caller.
+    std::optional<core::Result<QuotaReply>> reply;
+    boost::asio::steady_timer answered;  ///< Cancelled when the reply is there.
+  };
+  using QuestionPointer = std::shared_ptr<Question>;
+
+  /// What is known of a tenant at one home.
+  struct TenantAtHome {
+    core::Instant empty_until{};    ///< It had none left.
+    core::Instant no_home_until{};  ///< It said that it is no home of the tenant.
+    core::Instant short_until{};    ///< It had none left a short while ago: callers ask together.
+    bool asking = false;            ///< A question that stands for all is under way.
+    QuestionPointer gathering;      ///< The next one; null: nobody waits for it.
+  };
   struct Link {
     core::Endpoint endpoint;
     std::uint64_t incarnation = 0;
     std::shared_ptr<wire::Channel> channel;  ///< Null until it is asked for the first time.
     core::Instant avoided_until{};           ///< It did not answer.
-    std::map<core::TenantName, core::Instant> empty_until;
-    std::map<core::TenantName, core::Instant> no_home_until;  ///< It said that it is no home of theirs.
-    std::vector<GivenBackOperation> given_back;               ///< To be told; kMostGivenBack at most.
+    std::map<core::TenantName, TenantAtHome> tenants;
+    std::vector<GivenBackOperation> given_back;  ///< To be told; kMostGivenBack at most.
   };
   using LinkPointer = std::shared_ptr<Link>;
 
-  boost::asio::awaitable<core::Result<QuotaReply>> ask(LinkPointer link, core::TenantName tenant);
+  /// What one caller learned from a question. Neither granted nor retry_in: this home is of no use now.
+  struct CallersShare {
+    std::optional<tenancy::TokenNumber> granted;
+    std::optional<core::Duration> retry_in;
+  };
+
+  CallersShare take_own_share(const core::TenantName& tenant, const TakeOwn& take_own);
+  boost::asio::awaitable<CallersShare> ask_one(LinkPointer link, core::TenantName tenant);
+  static CallersShare share_of(const Question& question, std::uint32_t index);
+  /// Asks for all of the question's callers, then for those that have gathered meanwhile.
+  boost::asio::awaitable<void> ask_for_all(LinkPointer link, core::TenantName tenant,
+                                           QuestionPointer question);
+  static void note(Link& link, const core::TenantName& tenant, const core::Result<QuotaReply>& reply);
+  boost::asio::awaitable<core::Result<QuotaReply>> ask(LinkPointer link, core::TenantName tenant,
+                                                       std::uint32_t operations);
 
   boost::asio::io_context& io_;
   core::DaemonId self_;
   std::map<core::DaemonId, LinkPointer> links_;
+  std::map<core::TenantName, core::Instant> own_empty_until_;  ///< Where this daemon is the home.
   QuotaCounters counters_;
 };
 
+/// For this long after a home had none left, callers of the tenant ask it together: while one question is
+/// under way the others gather for the next. Else each asks at once, as an answer is sure to come and a wait
+/// for others would only be added. Covers some turns of a tenant that stays over its limit.
+inline constexpr core::Duration kAskTogether = std::chrono::milliseconds(1000);
 /// A home answers at once, from memory: what has not come by now (a way between zones and back takes 2 ms) is
 /// not worth waiting for while there are others.
 inline constexpr core::Duration kQuotaTimeout = std::chrono::milliseconds(120);
--- a/src/pooling/quota_messages.hpp
+++ b/src/pooling/quota_messages.hpp
@@ -1,6 +1,7 @@
 // Messages by which a daemon asks a tenant's home for the right to run an operation. Packed with msgpack.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <vector>
@@ -22,27 +23,30 @@
 /// Most of them in a question. What a daemon has beyond that is lost: its tenant has as much less.
 inline constexpr std::size_t kMostGivenBack = 64;
 
-/// Asks for one operation. Answered with a QuotaReply.
+/// Asks for operations. Answered with a QuotaReply.
 struct QuotaRequest {
   core::TenantName tenant;
   std::vector<GivenBackOperation> given_back;  ///< Of any tenants.
+  std::uint32_t operations = 1;                ///< As many as wait for the answer.
 
-  MSGPACK_DEFINE(tenant, given_back);
+  MSGPACK_DEFINE(tenant, given_back, operations);
 };
 
 /// What the home says.
 struct QuotaReply {
-  bool granted = false;
+  bool granted = false;             ///< At least one.
   bool is_home = false;             ///< False: it does not count this tenant's operations now.
-  std::uint32_t retry_in_ms = 0;    ///< Not granted: when there may be one.
-  tenancy::TokenNumber number = 0;  ///< Granted: by which it can be given back; 0: it can't.
+  std::uint32_t retry_in_ms = 0;    ///< Granted less than was asked for: when to ask again.
+  tenancy::TokenNumber number = 0;  ///< Granted: by which the first can be given back; the others follow it.
+  std::uint32_t operations = 0;     ///< Granted.
 
-  MSGPACK_DEFINE(granted, is_home, retry_in_ms, number);
+  MSGPACK_DEFINE(granted, is_home, retry_in_ms, number, operations);
 };
 
 inline QuotaReply reply_of(const tenancy::QuotaGrant& grant) {
-  return QuotaReply{grant.granted, grant.is_home, static_cast<std::uint32_t>(core::to_millis(grant.retry_in)),
-                    grant.number};
+  const auto retry_in = std::chrono::ceil<std::chrono::milliseconds>(grant.retry_in);
+  return QuotaReply{grant.granted > 0, grant.is_home, static_cast<std::uint32_t>(retry_in.count()),
+                    grant.first, grant.granted};
 }
 
 }  // namespace pipitpond::pooling
--- a/src/tenancy/quota_home.cpp
+++ b/src/tenancy/quota_home.cpp
@@ -44,6 +44,7 @@
     }
   }
   buckets_ = std::move(next);
+  std::erase_if(turns_, [this](const auto& entry) { return !buckets_.contains(entry.first); });
 }
 
 // Only where this life's admission made the daemon live, others may have been homes in its place before.
@@ -58,20 +59,27 @@
   live_since_ = self->live_since;
 }
 
-QuotaGrant QuotaHome::take(core::Instant now, const core::TenantName& tenant, core::Instant complete_until) {
+QuotaGrant QuotaHome::take(core::Instant now, const core::TenantName& tenant, core::Instant complete_until,
+                           std::uint32_t operations) {
   const auto found = buckets_.find(tenant);
   const bool certain = now - complete_until < kHomeProofAge;
   if (stopped_ || found == buckets_.end() || !certain || now < rests_until_) {
     return QuotaGrant{};
   }
+  QuotaBucket& bucket = found->second;
+  const std::uint32_t asked = std::clamp(operations, 1U, kMostOperationsAsked);
   QuotaGrant grant;
   grant.is_home = true;
-  const std::optional<TokenNumber> number = found->second.take(now);
-  grant.granted = number.has_value();
-  if (number) {
-    grant.number = *number;
-  } else {
-    grant.retry_in = found->second.time_to_next();
+  for (; grant.granted < asked; ++grant.granted) {
+    const std::optional<TokenNumber> number = bucket.take(now);
+    if (!number) {
+      break;
+    }
+    grant.first = grant.granted == 0 ? *number : grant.first;
+  }
+  if (grant.granted < asked) {
+    const std::uint32_t refused = asked - grant.granted;
+    grant.retry_in = turns_[tenant].refuse(now, bucket.time_to_next(), refused, bucket.limits().rate_per_s);
   }
   return grant;
 }
--- a/src/tenancy/quota_home.hpp
+++ b/src/tenancy/quota_home.hpp
@@ -39,6 +39,7 @@
 #include "protocol/tenant.hpp"
 #include "tenancy/quota_bucket.hpp"
 #include "tenancy/quota_homes.hpp"
+#include "tenancy/quota_turns.hpp"
 #include "tenancy/tenant_directory.hpp"
 
 namespace pipitpond::tenancy {
@@ -75,12 +76,15 @@
 /// The part of one of `homes` equal homes; see the head of this file.
 HomePart part_of_home(const protocol::TenantQuota& quota, const QuotaLimits& limits, std::size_t homes);
 
-/// A home's answer to a request for one operation.
+/// Most operations in one question.
+inline constexpr std::uint32_t kMostOperationsAsked = 64;
+
+/// A home's answer to a question for operations.
 struct QuotaGrant {
-  bool granted = false;
+  std::uint32_t granted = 0;  ///< Operations that may run.
   bool is_home = false;       ///< False: ask another daemon.
-  core::Duration retry_in{};  ///< Not granted by a home: when there may be a token.
-  TokenNumber number = 0;     ///< Granted: by which it can be given back.
+  core::Duration retry_in{};  ///< A home granted less than was asked for: when to ask again.
+  TokenNumber first = 0;      ///< Granted: number of the first one; the others follow it.
 };
 
 /// The buckets of the tenants that this daemon is a home of.
@@ -94,8 +98,10 @@
              const protocol::Daemon* self);
   /// This daemon leaves: others become the homes.
   void stop() { stopped_ = true; }
-  /// `complete_until`: up to when this daemon's configuration is known to be complete.
-  QuotaGrant take(core::Instant now, const core::TenantName& tenant, core::Instant complete_until);
+  /// `complete_until`: up to when this daemon's configuration is known to be complete. `operations`: as many
+  /// as wait for the answer; kMostOperationsAsked at most are considered.
+  QuotaGrant take(core::Instant now, const core::TenantName& tenant, core::Instant complete_until,
+                  std::uint32_t operations = 1);
 
   /// An operation that this home granted surely did not run.
   void give_back(core::Instant now, const core::TenantName& tenant, TokenNumber number);
@@ -114,6 +120,7 @@
   protocol::Revision live_since_ = 0;
   core::Instant rests_until_{};  ///< Whoever was home before this daemon joined may give until then.
   std::map<core::TenantName, QuotaBucket> buckets_;
+  std::map<core::TenantName, QuotaTurns> turns_;  ///< Of tenants with a bucket that were refused.
   std::uint64_t given_back_ = 0;
 };
 
--- a/tests/tenancy/quota_model_test.cpp
+++ b/tests/tenancy/quota_model_test.cpp
@@ -235,11 +235,11 @@
         continue;
       }
       const QuotaGrant grant = home.home->take(now_, kTenant, home.complete_until);
-      if (grant.granted && fails()) {
-        plan_return(home.id, grant.number);
+      if (grant.granted > 0 && fails()) {
+        plan_return(home.id, grant.first);
         return;
       }
-      if (grant.granted) {
+      if (grant.granted > 0) {
         ran_at_.push_back(now_);
         ++ran_;
         return;
@@ -646,7 +646,31 @@
   daemon.apply(now, control.configuration);
   control.admit(core::DaemonId("d"), 2, core::ZoneName("z"));
   daemon.apply(now, control.configuration);
-  EXPECT_TRUE(daemon.home->take(now, kTenant, now).granted);
+  EXPECT_GT(daemon.home->take(now, kTenant, now).granted, 0U);
+}
+
+TEST(QuotaHome, SeveralOperationsAreGrantedUnderNumbersInARowAndTheRestIsTold) {
+  Control control;
+  control.put_quota(kSmall);
+  control.admit(core::DaemonId("d"), 1, core::ZoneName("z"));
+  Daemon daemon;
+  daemon.id = core::DaemonId("d");
+  daemon.zone = core::ZoneName("z");
+  daemon.start();
+  core::Instant now{std::chrono::hours(1)};
+  daemon.apply(now, control.configuration);
+  now += std::chrono::seconds(20);
+  const QuotaGrant some = daemon.home->take(now, kTenant, now, 4);
+  EXPECT_EQ(some.granted, 4U);
+  const QuotaGrant rest = daemon.home->take(now, kTenant, now, kMostOperationsAsked);
+  EXPECT_EQ(rest.first, some.first + 4);
+  EXPECT_LT(rest.granted, kMostOperationsAsked);
+  EXPECT_GE(rest.retry_in, kShortestTurn);
+  for (TokenNumber number = some.first; number < rest.first; ++number) {
+    daemon.home->give_back(now, kTenant, number);
+  }
+  EXPECT_EQ(daemon.home->given_back(), 4U);
+  EXPECT_EQ(daemon.home->take(now, kTenant, now, kMostOperationsAsked).granted, 4U);
 }
 
 TEST(QuotaModel, WhileOneOfThreeHomesIsLostTwoThirdsOfTheQuotaRemain) {
