Keep quota operations back for a tenant's more urgent requests

Cause: inside a tenant whoever asked first took the operations, so that a flood of cheap requests took those of its urgent ones. Ruled out: fixed parts by priority (unused while a class rests); a reserve without an upper bound (a small bucket would give nothing to the others). Change: questions carry the route's priority. Daemons ask, gather and remember turns by tenant and priority. Without more urgent demand nothing is kept back. A reserve only refuses: the promise stands as it was.

--- a/src/pooling/caller_access.cpp
+++ b/src/pooling/caller_access.cpp
@@ -16,8 +16,9 @@
       homes_(std::move(zone)),
       home_(self, options.quotas),
       asker_(io, std::move(self)),
-      take_own_([this](const core::TenantName& tenant) {
-        return home_.take(core::BootClock::now(), tenant, agent_.complete_until());
+      take_own_([this](const QuotaAsked& asked) {
+        return home_.take(core::BootClock::now(), asked.tenant, agent_.complete_until(),
+                          tenancy::QuotaDemand{1, asked.priority});
       }) {}
 
 void CallerAccess::apply(core::Instant now, const protocol::Configuration& configuration) {
@@ -45,15 +46,15 @@
   return tenancy::judge(directory_, route, key, keys_are_certain(now));
 }
 
-awaitable<QuotaAnswer> CallerAccess::take_operation(core::TenantName tenant) {
-  const protocol::Tenant* known = directory_.find(tenant);
+awaitable<QuotaAnswer> CallerAccess::take_operation(QuotaAsked asked) {
+  const protocol::Tenant* known = directory_.find(asked.tenant);
   if (known == nullptr || !known->quota) {
     QuotaAnswer unlimited;
     unlimited.outcome = QuotaOutcome::kGranted;
     co_return unlimited;
   }
-  std::vector<core::DaemonId> homes = homes_.of(tenant);
-  co_return co_await asker_.take(std::move(homes), std::move(tenant), take_own_);
+  std::vector<core::DaemonId> homes = homes_.of(asked.tenant);
+  co_return co_await asker_.take(std::move(homes), std::move(asked), take_own_);
 }
 
 void CallerAccess::give_back(const QuotaReceipt& receipt) {
@@ -70,7 +71,8 @@
     const GivenBackOperation& operation = request.given_back[index];
     home_.give_back(now, operation.tenant, operation.number);
   }
-  return reply_of(home_.take(now, request.tenant, agent_.complete_until(), request.operations));
+  return reply_of(home_.take(now, request.tenant, agent_.complete_until(),
+                             tenancy::QuotaDemand{request.operations, request.priority}));
 }
 
 void CallerAccess::count(tenancy::Verdict verdict) {
--- a/src/pooling/caller_access.hpp
+++ b/src/pooling/caller_access.hpp
@@ -48,7 +48,7 @@
   /// True while nothing but a key that nobody holds keeps callers away.
   [[nodiscard]] bool keys_are_certain(core::Instant now) const;
   /// Takes the right to run one operation of a tenant: kGranted at once for those without a quota.
-  boost::asio::awaitable<QuotaAnswer> take_operation(core::TenantName tenant);
+  boost::asio::awaitable<QuotaAnswer> take_operation(QuotaAsked asked);
 
   /// An operation that was taken surely did not run.
   void give_back(const QuotaReceipt& receipt);
--- a/src/pooling/caller_session_access.cpp
+++ b/src/pooling/caller_session_access.cpp
@@ -65,7 +65,8 @@
   if (auto refusal = refuse_key(search)) {
     co_return refusal;
   }
-  const QuotaAnswer answer = co_await services_.access.take_operation(search.access.tenant);
+  QuotaAsked asked{search.access.tenant, search.route.priority};
+  const QuotaAnswer answer = co_await services_.access.take_operation(std::move(asked));
   if (answer.outcome == QuotaOutcome::kGranted) {
     search.quota = answer.receipt;
     co_return std::nullopt;
--- a/src/pooling/quota_asker.cpp
+++ b/src/pooling/quota_asker.cpp
@@ -18,9 +18,9 @@
 namespace {
 
 // Not part of the coroutine: GCC 12 destroys a temporary of such an initializer twice there.
-std::string request_body(core::TenantName tenant, std::vector<GivenBackOperation> given_back,
+std::string request_body(const QuotaAsked& asked, std::vector<GivenBackOperation> given_back,
                          std::uint32_t operations) {
-  return wire::pack(QuotaRequest{std::move(tenant), std::move(given_back), operations});
+  return wire::pack(QuotaRequest{asked.tenant, std::move(given_back), operations, asked.priority});
 }
 
 /// The answer to an operation that `home` granted.
@@ -55,7 +55,7 @@
   }
 }
 
-awaitable<QuotaAnswer> QuotaAsker::take(std::vector<core::DaemonId> homes, core::TenantName tenant,
+awaitable<QuotaAnswer> QuotaAsker::take(std::vector<core::DaemonId> homes, QuotaAsked asked,
                                         const TakeOwn& take_own) {
   QuotaAnswer answer;
   answer.retry_in = kQuotaComeBack;
@@ -67,13 +67,13 @@
   for (const core::DaemonId& home : homes) {
     CallersShare share;
     if (home == self_) {
-      share = take_own_share(tenant, take_own);
+      share = take_own_share(asked, take_own);
     } else if (const auto found = links_.find(home); found != links_.end()) {
       const LinkPointer link = found->second;
-      share = co_await ask_one(link, tenant);
+      share = co_await ask_one(link, asked);
     }
     if (share.granted) {
-      co_return granted_by(home, tenant, *share.granted);
+      co_return granted_by(home, asked.tenant, *share.granted);
     }
     if (share.retry_in) {
       note_empty(*share.retry_in);
@@ -82,25 +82,25 @@
   co_return answer;
 }
 
-QuotaAsker::CallersShare QuotaAsker::take_own_share(const core::TenantName& tenant, const TakeOwn& take_own) {
+QuotaAsker::CallersShare QuotaAsker::take_own_share(const QuotaAsked& asked, const TakeOwn& take_own) {
   const core::Instant now = core::BootClock::now();
-  const auto empty = own_empty_until_.find(tenant);
+  const auto empty = own_empty_until_.find(asked);
   if (empty != own_empty_until_.end() && now < empty->second) {
     return CallersShare{{}, empty->second - now};
   }
-  const tenancy::QuotaGrant grant = take_own(tenant);
+  const tenancy::QuotaGrant grant = take_own(asked);
   if (grant.granted > 0) {
     return CallersShare{grant.first, {}};
   }
   if (!grant.is_home) {
     return CallersShare{};
   }
-  own_empty_until_[tenant] = now + grant.retry_in;
+  own_empty_until_[asked] = now + grant.retry_in;
   return CallersShare{{}, grant.retry_in};
 }
 
-awaitable<QuotaAsker::CallersShare> QuotaAsker::ask_one(LinkPointer link, core::TenantName tenant) {
-  TenantAtHome& known = link->tenants[tenant];
+awaitable<QuotaAsker::CallersShare> QuotaAsker::ask_one(LinkPointer link, QuotaAsked asked) {
+  TenantAtHome& known = link->tenants[asked];
   const core::Instant now = core::BootClock::now();
   if (now < link->avoided_until || now < known.no_home_until) {
     co_return CallersShare{};
@@ -123,10 +123,10 @@
   question->operations = 1;
   if (now < known.short_until) {
     known.asking = true;
-    co_await ask_for_all(link, tenant, question);
+    co_await ask_for_all(link, asked, question);
   } else {
-    question->reply = co_await ask(link, tenant, question->operations);
-    note(*link, tenant, *question->reply);
+    question->reply = co_await ask(link, asked, question->operations);
+    note(*link, asked, *question->reply);
   }
   co_return share_of(*question, 0);
 }
@@ -144,10 +144,10 @@
   return CallersShare{{}, std::chrono::milliseconds(reply.retry_in_ms)};
 }
 
-awaitable<void> QuotaAsker::ask_for_all(LinkPointer link, core::TenantName tenant, QuestionPointer question) {
-  TenantAtHome& known = link->tenants[tenant];
-  question->reply = co_await ask(link, tenant, question->operations);
-  note(*link, tenant, *question->reply);
+awaitable<void> QuotaAsker::ask_for_all(LinkPointer link, QuotaAsked asked, QuestionPointer question) {
+  TenantAtHome& known = link->tenants[asked];
+  question->reply = co_await ask(link, asked, question->operations);
+  note(*link, asked, *question->reply);
   question->answered.cancel();
   const QuestionPointer next = std::exchange(known.gathering, nullptr);
   if (!next) {
@@ -158,7 +158,7 @@
   const bool of_use = *question->reply && question->reply->value().is_home;
   if (of_use && now >= known.empty_until) {
     // By itself: this coroutine's caller has its answer.
-    boost::asio::co_spawn(io_, ask_for_all(link, tenant, next), boost::asio::detached);
+    boost::asio::co_spawn(io_, ask_for_all(link, asked, next), boost::asio::detached);
     co_return;
   }
   known.asking = false;
@@ -171,9 +171,9 @@
   next->answered.cancel();
 }
 
-void QuotaAsker::note(Link& link, const core::TenantName& tenant, const core::Result<QuotaReply>& reply) {
+void QuotaAsker::note(Link& link, const QuotaAsked& asked, const core::Result<QuotaReply>& reply) {
   const core::Instant now = core::BootClock::now();
-  TenantAtHome& known = link.tenants[tenant];
+  TenantAtHome& known = link.tenants[asked];
   if (!reply) {
     link.avoided_until = now + kAvoidSilentHome;
     return;
@@ -196,18 +196,22 @@
   }
   ++counters_.given_back;
   Link& link = *found->second;
-  link.tenants[receipt.operation.tenant].empty_until = {};  // There is one again.
+  for (auto& [asked, known] : link.tenants) {
+    if (asked.tenant == receipt.operation.tenant) {
+      known.empty_until = {};  // There is one again.
+    }
+  }
   link.given_back.push_back(std::move(receipt.operation));
 }
 
-awaitable<core::Result<QuotaReply>> QuotaAsker::ask(LinkPointer link, core::TenantName tenant,
+awaitable<core::Result<QuotaReply>> QuotaAsker::ask(LinkPointer link, QuotaAsked asked,
                                                     std::uint32_t operations) {
   if (!link->channel) {
     link->channel = wire::Channel::create(io_, link->endpoint);
   }
   ++counters_.asked;
   const std::shared_ptr<wire::Channel> channel = link->channel;
-  std::string body = request_body(std::move(tenant), std::exchange(link->given_back, {}), operations);
+  std::string body = request_body(asked, std::exchange(link->given_back, {}), operations);
   const auto answer = co_await channel->call(wire::MessageType::kQuota, std::move(body), kQuotaTimeout);
   if (!answer) {
     ++counters_.unanswered;
--- a/src/pooling/quota_asker.hpp
+++ b/src/pooling/quota_asker.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -50,8 +51,16 @@
   std::uint64_t given_back = 0;  ///< Operations that surely did not run, told to other daemons.
 };
 
+/// Who asks for an operation. Callers of other priorities neither share questions nor what homes answer.
+struct QuotaAsked {
+  core::TenantName tenant;
+  std::uint32_t priority = 0;  ///< Of the route.
+
+  auto operator<=>(const QuotaAsked&) const = default;
+};
+
 /// Grants an operation where this daemon itself is the home.
-using TakeOwn = std::function<tenancy::QuotaGrant(const core::TenantName&)>;
+using TakeOwn = std::function<tenancy::QuotaGrant(const QuotaAsked&)>;
 
 /// The asking side of tenancy::QuotaHome.
 class QuotaAsker {
@@ -61,7 +70,7 @@
   /// Follows the daemons that the configuration names.
   void apply(const protocol::Configuration& configuration);
   /// `homes`: the tenant's, in the order in which they are to be asked.
-  boost::asio::awaitable<QuotaAnswer> take(std::vector<core::DaemonId> homes, core::TenantName tenant,
+  boost::asio::awaitable<QuotaAnswer> take(std::vector<core::DaemonId> homes, QuotaAsked asked,
                                            const TakeOwn& take_own);
 
   /// An operation that another daemon granted surely did not run. The next question to that daemon tells it;
@@ -95,7 +104,7 @@
     std::uint64_t incarnation = 0;
     std::shared_ptr<wire::Channel> channel;  ///< Null until it is asked for the first time.
     core::Instant avoided_until{};           ///< It did not answer.
-    std::map<core::TenantName, TenantAtHome> tenants;
+    std::map<QuotaAsked, TenantAtHome> tenants;
     std::vector<GivenBackOperation> given_back;  ///< To be told; kMostGivenBack at most.
   };
   using LinkPointer = std::shared_ptr<Link>;
@@ -106,20 +115,19 @@
     std::optional<core::Duration> retry_in;
   };
 
-  CallersShare take_own_share(const core::TenantName& tenant, const TakeOwn& take_own);
-  boost::asio::awaitable<CallersShare> ask_one(LinkPointer link, core::TenantName tenant);
+  CallersShare take_own_share(const QuotaAsked& asked, const TakeOwn& take_own);
+  boost::asio::awaitable<CallersShare> ask_one(LinkPointer link, QuotaAsked asked);
   static CallersShare share_of(const Question& question, std::uint32_t index);
   /// Asks for all of the question's callers, then for those that have gathered meanwhile.
-  boost::asio::awaitable<void> ask_for_all(LinkPointer link, core::TenantName tenant,
-                                           QuestionPointer question);
-  static void note(Link& link, const core::TenantName& tenant, const core::Result<QuotaReply>& reply);
-  boost::asio::awaitable<core::Result<QuotaReply>> ask(LinkPointer link, core::TenantName tenant,
+  boost::asio::awaitable<void> ask_for_all(LinkPointer link, QuotaAsked asked, QuestionPointer question);
+  static void note(Link& link, const QuotaAsked& asked, const core::Result<QuotaReply>& reply);
+  boost::asio::awaitable<core::Result<QuotaReply>> ask(LinkPointer link, QuotaAsked asked,
                                                        std::uint32_t operations);
 
   boost::asio::io_context& io_;
   core::DaemonId self_;
   std::map<core::DaemonId, LinkPointer> links_;
-  std::map<core::TenantName, core::Instant> own_empty_until_;  ///< Where this daemon is the home.
+  std::map<QuotaAsked, core::Instant> own_empty_until_;  ///< Where this daemon is the home.
   QuotaCounters counters_;
 };
 
--- a/src/pooling/quota_messages.hpp
+++ b/src/pooling/quota_messages.hpp
@@ -28,8 +28,9 @@
   core::TenantName tenant;
   std::vector<GivenBackOperation> given_back;  ///< Of any tenants.
   std::uint32_t operations = 1;                ///< As many as wait for the answer.
+  std::uint32_t priority = 0;                  ///< Of their route.
 
-  MSGPACK_DEFINE(tenant, given_back, operations);
+  MSGPACK_DEFINE(tenant, given_back, operations, priority);
 };
 
 /// What the home says.
--- a/src/tenancy/quota_bucket.hpp
+++ b/src/tenancy/quota_bucket.hpp
@@ -55,10 +55,10 @@
     returnable_.clear();
   }
 
-  /// The token's number; nothing: none is left.
-  std::optional<TokenNumber> take(core::Instant now) {
+  /// The token's number; nothing: none is left, but for the `reserved` ones.
+  std::optional<TokenNumber> take(core::Instant now, double reserved = 0) {
     fill(current_, now);
-    if (current_.tokens < 1) {
+    if (current_.tokens < 1 + reserved) {
       return std::nullopt;
     }
     current_.tokens -= 1;
--- a/src/tenancy/quota_home.cpp
+++ b/src/tenancy/quota_home.cpp
@@ -44,7 +44,7 @@
     }
   }
   buckets_ = std::move(next);
-  std::erase_if(turns_, [this](const auto& entry) { return !buckets_.contains(entry.first); });
+  std::erase_if(asked_, [this](const auto& entry) { return !buckets_.contains(entry.first); });
 }
 
 // Only where this life's admission made the daemon live, others may have been homes in its place before.
@@ -60,26 +60,30 @@
 }
 
 QuotaGrant QuotaHome::take(core::Instant now, const core::TenantName& tenant, core::Instant complete_until,
-                           std::uint32_t operations) {
+                           QuotaDemand demand) {
   const auto found = buckets_.find(tenant);
   const bool certain = now - complete_until < kHomeProofAge;
   if (stopped_ || found == buckets_.end() || !certain || now < rests_until_) {
     return QuotaGrant{};
   }
   QuotaBucket& bucket = found->second;
-  const std::uint32_t asked = std::clamp(operations, 1U, kMostOperationsAsked);
+  Asked& asked = asked_[tenant];
+  const std::uint32_t operations = std::clamp(demand.operations, 1U, kMostOperationsAsked);
+  asked.reserve.note(now, demand.priority, operations);
+  const double reserved = asked.reserve.before(demand.priority, bucket.limits().capacity);
   QuotaGrant grant;
   grant.is_home = true;
-  for (; grant.granted < asked; ++grant.granted) {
-    const std::optional<TokenNumber> number = bucket.take(now);
+  for (; grant.granted < operations; ++grant.granted) {
+    const std::optional<TokenNumber> number = bucket.take(now, reserved);
     if (!number) {
       break;
     }
     grant.first = grant.granted == 0 ? *number : grant.first;
   }
-  if (grant.granted < asked) {
-    const std::uint32_t refused = asked - grant.granted;
-    grant.retry_in = turns_[tenant].refuse(now, bucket.time_to_next(), refused, bucket.limits().rate_per_s);
+  if (grant.granted < operations) {
+    const auto priority = std::min<std::size_t>(demand.priority, kQuotaPriorities - 1);
+    grant.retry_in = asked.turns[priority].refuse(now, bucket.time_to_next(), operations - grant.granted,
+                                                  bucket.limits().rate_per_s);
   }
   return grant;
 }
--- a/src/tenancy/quota_home.hpp
+++ b/src/tenancy/quota_home.hpp
@@ -30,6 +30,7 @@
 //   wait.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -39,6 +40,7 @@
 #include "protocol/tenant.hpp"
 #include "tenancy/quota_bucket.hpp"
 #include "tenancy/quota_homes.hpp"
+#include "tenancy/quota_reserve.hpp"
 #include "tenancy/quota_turns.hpp"
 #include "tenancy/tenant_directory.hpp"
 
@@ -79,6 +81,12 @@
 /// Most operations in one question.
 inline constexpr std::uint32_t kMostOperationsAsked = 64;
 
+/// A question of a daemon for operations of a tenant.
+struct QuotaDemand {
+  std::uint32_t operations = 1;  ///< As many as wait for the answer; kMostOperationsAsked at most count.
+  std::uint32_t priority = 0;    ///< Of their route; 0 is most urgent.
+};
+
 /// A home's answer to a question for operations.
 struct QuotaGrant {
   std::uint32_t granted = 0;  ///< Operations that may run.
@@ -98,10 +106,9 @@
              const protocol::Daemon* self);
   /// This daemon leaves: others become the homes.
   void stop() { stopped_ = true; }
-  /// `complete_until`: up to when this daemon's configuration is known to be complete. `operations`: as many
-  /// as wait for the answer; kMostOperationsAsked at most are considered.
+  /// `complete_until`: up to when this daemon's configuration is known to be complete.
   QuotaGrant take(core::Instant now, const core::TenantName& tenant, core::Instant complete_until,
-                  std::uint32_t operations = 1);
+                  QuotaDemand demand = {});
 
   /// An operation that this home granted surely did not run.
   void give_back(core::Instant now, const core::TenantName& tenant, TokenNumber number);
@@ -112,6 +119,12 @@
   [[nodiscard]] const std::map<core::TenantName, QuotaBucket>& buckets() const { return buckets_; }
 
  private:
+  /// What was asked of a bucket.
+  struct Asked {
+    QuotaReserve reserve;
+    std::array<QuotaTurns, kQuotaPriorities> turns;  ///< By priority.
+  };
+
   void note_own_entry(core::Instant now, const protocol::Daemon* self);
 
   core::DaemonId self_;
@@ -120,7 +133,7 @@
   protocol::Revision live_since_ = 0;
   core::Instant rests_until_{};  ///< Whoever was home before this daemon joined may give until then.
   std::map<core::TenantName, QuotaBucket> buckets_;
-  std::map<core::TenantName, QuotaTurns> turns_;  ///< Of tenants with a bucket that were refused.
+  std::map<core::TenantName, Asked> asked_;  ///< Of tenants with a bucket.
   std::uint64_t given_back_ = 0;
 };
 
--- a/tests/pooling/caller_access_test.cpp
+++ b/tests/pooling/caller_access_test.cpp
@@ -233,11 +233,11 @@
   const core::TenantName tenant("t1");
   const core::Instant now = core::BootClock::now();
   agent_.complete = now;
-  const QuotaReply first = access_.answer(now, QuotaRequest{tenant, {}, 1});
+  const QuotaReply first = access_.answer(now, QuotaRequest{tenant, {}, 1, 0});
   ASSERT_TRUE(first.granted);
   const GivenBackOperation unused{tenant, first.number};
-  EXPECT_TRUE(access_.answer(now, QuotaRequest{tenant, {unused, unused}, 1}).granted);
-  EXPECT_TRUE(access_.answer(now, QuotaRequest{tenant, {unused}, 1}).granted);
+  EXPECT_TRUE(access_.answer(now, QuotaRequest{tenant, {unused, unused}, 1, 0}).granted);
+  EXPECT_TRUE(access_.answer(now, QuotaRequest{tenant, {unused}, 1, 0}).granted);
   EXPECT_EQ(given_back(), 1U);
 }
 
@@ -252,7 +252,7 @@
   EXPECT_EQ(access_.counters().quota_not_told, 1U);
   const core::Instant later = core::BootClock::now() + tenancy::kHomeProofAge;
   agent_.complete = later;
-  EXPECT_TRUE(access_.answer(later, QuotaRequest{core::TenantName("t1"), {}, 1}).granted);
+  EXPECT_TRUE(access_.answer(later, QuotaRequest{core::TenantName("t1"), {}, 1, 0}).granted);
 }
 
 }  // namespace
--- a/tests/pooling/quota_asker_test.cpp
+++ b/tests/pooling/quota_asker_test.cpp
@@ -53,7 +53,9 @@
     co_return wire::pack(reply);
   }
 
-  PendingAnswer start() { return pipitpond::testing::start(io_, asker_.take({kHome}, kTenant, take_own_)); }
+  PendingAnswer start(std::uint32_t priority = 0) {
+    return pipitpond::testing::start(io_, asker_.take({kHome}, QuotaAsked{kTenant, priority}, take_own_));
+  }
   QuotaAnswer finish(const PendingAnswer& pending) {
     EXPECT_TRUE(pipitpond::testing::run_until(io_, [&] { return pending->done(); }));
     return pending->value.value();
@@ -82,7 +84,7 @@
   boost::asio::io_context io_;
   QuotaAsker asker_;
   std::unique_ptr<wire::Server> server_;
-  TakeOwn take_own_ = [](const core::TenantName&) { return tenancy::QuotaGrant{}; };
+  TakeOwn take_own_ = [](const QuotaAsked&) { return tenancy::QuotaGrant{}; };
   std::deque<QuotaReply> replies_;
   std::vector<QuotaRequest> asked_;
   bool silent_ = false;
@@ -126,6 +128,17 @@
   EXPECT_EQ(numbers, (std::vector<tenancy::TokenNumber>{50, 100, 101}));
 }
 
+TEST_F(QuotaAskerTest, WhatACheapCallerWasToldDoesNotHoldUpAnUrgentOne) {
+  constexpr std::uint32_t kCheap = 2;
+  replies_ = {granting(0, 0, 1000)};
+  EXPECT_EQ(finish(start(kCheap)).outcome, QuotaOutcome::kOverQuota);
+  EXPECT_EQ(finish(start(0)).outcome, QuotaOutcome::kGranted);
+  EXPECT_EQ(finish(start(kCheap)).outcome, QuotaOutcome::kOverQuota);
+  ASSERT_EQ(asked_.size(), 2U);
+  EXPECT_EQ(asked_[0].priority, kCheap);
+  EXPECT_EQ(asked_[1].priority, 0U);
+}
+
 TEST_F(QuotaAskerTest, ThoseThatWaitAreToldWhenTheHomeHasNoneLeft) {
   run_short();
   replies_ = {granting(0, 0, 40)};
--- a/tests/tenancy/quota_model_test.cpp
+++ b/tests/tenancy/quota_model_test.cpp
@@ -660,9 +660,9 @@
   core::Instant now{std::chrono::hours(1)};
   daemon.apply(now, control.configuration);
   now += std::chrono::seconds(20);
-  const QuotaGrant some = daemon.home->take(now, kTenant, now, 4);
+  const QuotaGrant some = daemon.home->take(now, kTenant, now, {4, 0});
   EXPECT_EQ(some.granted, 4U);
-  const QuotaGrant rest = daemon.home->take(now, kTenant, now, kMostOperationsAsked);
+  const QuotaGrant rest = daemon.home->take(now, kTenant, now, {kMostOperationsAsked, 0});
   EXPECT_EQ(rest.first, some.first + 4);
   EXPECT_LT(rest.granted, kMostOperationsAsked);
   EXPECT_GE(rest.retry_in, kShortestTurn);
@@ -670,7 +670,7 @@
     daemon.home->give_back(now, kTenant, number);
   }
   EXPECT_EQ(daemon.home->given_back(), 4U);
-  EXPECT_EQ(daemon.home->take(now, kTenant, now, kMostOperationsAsked).granted, 4U);
+  EXPECT_EQ(daemon.home->take(now, kTenant, now, {kMostOperationsAsked, 0}).granted, 4U);
 }
 
 TEST(QuotaModel, WhileOneOfThreeHomesIsLostTwoThirdsOfTheQuotaRemain) {
