--- a/tests/pooling/quota_asker_test.cpp
+++ b/tests/pooling/quota_asker_test.cpp
@@ -60,12 +60,14 @@
     EXPECT_TRUE(pipitpond::testing::run_until(io_, [&] { return pending->done(); }));
     return pending->value.value();
   }
-  std::vector<QuotaAnswer> ask_at_once(int callers) {
+  std::vector<QuotaAnswer> ask_at_once(std::size_t callers) {
     std::vector<PendingAnswer> pending;
-    for (int caller = 0; caller < callers; ++caller) {
+    pending.reserve(callers);
+    for (std::size_t caller = 0; caller < callers; ++caller) {
       pending.push_back(start());
     }
     std::vector<QuotaAnswer> answers;
+    answers.reserve(callers);
     for (const PendingAnswer& one : pending) {
       answers.push_back(finish(one));
     }
