--- /dev/null
+++ b/src/pooling/backends_positions.cpp
@@ -0,0 +1,177 @@
+// Who surely is the primary of a group, and the positions that it has shown: by control's lease, by the
+// databases themselves, or by way of an owner of the primary.
+#include <algorithm>
+#include <utility>
+
+#include "pooling/backends.hpp"
+
+namespace pipitpond::pooling {
+
+namespace {
+
+/// Clocks of two daemons may differ in rate by one part in so many (5%): ages are told that much greater.
+constexpr int kClockRatePart = 20;
+/// What rounding to milliseconds may add to an age.
+constexpr core::Duration kAgeRounding = std::chrono::milliseconds(2);
+
+AgedPosition aged(const ShownPosition& shown, core::Instant now) {
+  const std::int64_t age_ms = core::to_millis(now - shown.sent);
+  return AgedPosition{static_cast<std::uint32_t>(age_ms + age_ms / kClockRatePart + 1), shown.position};
+}
+
+}  // namespace
+
+bool Backends::surely_primary(const core::GroupName& group, const BackendChoice& choice,
+                              core::Instant now) const {
+  const GroupView* view = find(group);
+  return view != nullptr && choice.is_primary && view->term == choice.term &&
+         view->primary == choice.pool->address().database && agent_.lease_valid(now);
+}
+
+bool Backends::is_primary(const core::GroupName& group, const core::DatabaseId& database) const {
+  const GroupView* view = find(group);
+  return view != nullptr && view->primary == database;
+}
+
+std::optional<core::LogPosition> Backends::position_for(const core::GroupName& group,
+                                                        core::Duration staleness, core::Instant now) const {
+  const GroupView* view = find(group);
+  return view == nullptr ? std::nullopt : view->positions.covering(now - staleness);
+}
+
+void Backends::note_position(const core::GroupName& group, const BackendChoice& choice, core::Instant sent,
+                             core::Instant now, const core::LogPosition& position) {
+  if (surely_primary(group, choice, now)) {
+    groups_.at(group).positions.note(sent, position);
+  }
+}
+
+// A change of primary promotes nothing before it has stopped all databases of
+// the group but one from receiving or leading. A receipt therefore shows that
+// none was promoted when it was given, which was after `sent`. So all that was
+// acknowledged before `sent` is in the log of the one that acknowledged this
+// write.
+void Backends::note_acknowledged_write(const core::GroupName& group, const BackendChoice& choice,
+                                       core::Instant sent, const core::LogPosition& position) {
+  const auto found = groups_.find(group);
+  const bool proves = found != groups_.end() && found->second.acknowledges_by_receipt && choice.is_primary;
+  if (proves) {
+    found->second.positions.note(sent, position);
+  }
+}
+
+void Backends::ask_databases(const core::GroupName& group, core::Instant now) {
+  const GroupView* view = find(group);
+  const bool may_ask = view != nullptr && view->acknowledges_by_receipt;
+  if (!may_ask || !view->members.contains(view->primary)) {
+    return;
+  }
+  RoundSubject subject{group, view->primary, {}, view->members.size()};
+  for (const auto& [id, member] : view->members) {
+    const bool reachable = member.pool->health().usable() || others_serve(*member.pool, now);
+    if (!member.departed && reachable) {
+      subject.pools.push_back(member.pool);
+    }
+  }
+  rounds_.ask(now, subject);
+}
+
+boost::asio::awaitable<core::Result<BackendStatus>> Backends::ask_status(std::shared_ptr<BackendPool> pool,
+                                                                         core::Duration timeout) {
+  if (should_pass_on(*pool, core::BootClock::now())) {
+    const core::DatabaseId& database = pool->address().database;
+    return forwarder_.status(std::move(pool), agent_.owner_table().owners(database), timeout);
+  }
+  return BackendPool::ask_status(std::move(pool), timeout);
+}
+
+void Backends::note_shown(const core::GroupName& group, const ShownPrimary& shown) {
+  last_shown_ = std::max(last_shown_, shown.begun);
+  const auto found = groups_.find(group);
+  if (found != groups_.end()) {
+    found->second.positions.note(shown.begun, shown.position);
+  }
+}
+
+bool Backends::primary_shown_since(const core::GroupName& group, core::Instant moment) const {
+  const GroupView* view = find(group);
+  const ShownPrimary* shown = rounds_.shown(group);
+  return view != nullptr && shown != nullptr && shown->primary == view->primary && shown->begun >= moment;
+}
+
+bool Backends::recently_certain(const core::GroupName& group, core::Instant now) const {
+  return agent_.lease_valid(now) || primary_shown_since(group, now - kShownRecently);
+}
+
+boost::asio::awaitable<void> Backends::ask_position(core::GroupName group, core::Duration staleness) {
+  const core::Instant asked = core::BootClock::now();
+  const auto found = groups_.find(group);
+  if (found == groups_.end() || found->second.position_asked || asked < found->second.next_position_ask) {
+    co_return;
+  }
+  const auto primary = found->second.members.find(found->second.primary);
+  const core::Duration most_age = staleness - kLongestForwardWait - kPositionTimeout;
+  const bool useful = primary != found->second.members.end() && most_age > core::Duration::zero() &&
+                      should_pass_on(*primary->second.pool, asked);
+  if (!useful) {
+    co_return;
+  }
+  found->second.position_asked = true;
+  const std::shared_ptr<BackendPool> pool = primary->second.pool;
+  const PositionRequest request{group, static_cast<std::uint32_t>(core::to_millis(most_age))};
+  const auto reply = co_await forwarder_.positions(
+      pool, agent_.owner_table().owners(pool->address().database), request, kPositionTimeout);
+  const auto still = groups_.find(group);
+  if (still == groups_.end()) {
+    co_return;
+  }
+  still->second.position_asked = false;
+  if (!reply || reply.value().positions.empty()) {
+    still->second.next_position_ask = core::BootClock::now() + kPositionAskRest;
+    co_return;
+  }
+  // Counted from before the question: the owner counted from a moment after it.
+  for (const AgedPosition& known : reply.value().positions) {
+    still->second.positions.note(asked - std::chrono::milliseconds(known.age_ms), known.position);
+  }
+}
+
+bool Backends::awaits_position(const core::GroupName& group) const {
+  const GroupView* view = find(group);
+  return view != nullptr && view->position_asked;
+}
+
+PositionReply Backends::known_positions(const PositionRequest& request, core::Instant now) const {
+  PositionReply reply;
+  const GroupView* view = find(request.group);
+  if (view == nullptr) {
+    return reply;
+  }
+  const core::Duration most_age = std::chrono::milliseconds(request.max_age_ms);
+  const core::Duration counted = most_age * kClockRatePart / (kClockRatePart + 1) - kAgeRounding;
+  const ShownPosition* oldest = view->positions.oldest_covering(now - counted);
+  if (oldest == nullptr) {
+    return reply;
+  }
+  reply.positions.push_back(aged(*oldest, now));
+  const ShownPosition* newest = view->positions.newest();
+  if (newest != oldest) {
+    reply.positions.push_back(aged(*newest, now));
+  }
+  return reply;
+}
+
+bool Backends::take_position_seek(const core::GroupName& group, core::Instant now) {
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) {
+    return true;
+  }
+  std::optional<core::Instant>& last = found->second.last_seek;
+  if (last && now - *last < kSeekInterval) {
+    return false;
+  }
+  last = now;
+  return true;
+}
+
+}  // namespace pipitpond::pooling
