Owners run the rounds that show a primary for all that ask them

Cause: after a loss of power there is no lease until control has a leader (35.9 to 36.0 s in the trace of the fleet of 79). Until then each daemon asked for itself, for each group that has a caller: two or three statuses a round, which take slots at databases that are busy with openings; rounds ended without a proof. Change: a daemon that owns no connection to the primary puts one question at a time to an owner (kShownPrimary). The owner waits for a round that began after the question came (or not longer before than the waiting read is old) and runs one round at a time for all. Ages: told 5% greater, counted from before the question. Another primary or term counts for nothing. Fallback: a second owner, then own rounds for 250 ms. Ruled out as unsafe: counting the age from the answer's arrival (the seeded model finds it wrong, test ToldAgesCountedFromTheAnswerWouldBeWrong). Found on the way: told ages were rounded down before the 5% were added, up to 0.95 ms too young for clocks that differ by the full 5% (also of positions); rounded once now (ARoundThatServesIsToldAsYoungEnoughAndNeverTooYoung).

--- a/src/pooling/backends.cpp
+++ b/src/pooling/backends.cpp
@@ -13,11 +13,13 @@
       self_(std::move(self)),
       zone_(std::move(zone)),
       forwarder_(io, self_, zone_),
-      rounds_(io, [this](std::shared_ptr<BackendPool> pool, core::Duration timeout) {
-        return ask_status(std::move(pool), timeout);
-      }) {
+      rounds_(io, [this](std::shared_ptr<BackendPool> pool,
+                         core::Duration timeout) { return ask_status(std::move(pool), timeout); }),
+      questions_(io) {
   rounds_.on_shown(
       [this](const core::GroupName& group, const ShownPrimary& shown) { note_shown(group, shown); });
+  questions_.on_told(
+      [this](const core::GroupName& group, const ShownPrimary& shown) { rounds_.note_told(group, shown); });
 }
 
 // --- The configuration
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -15,6 +15,7 @@
 #include "core/clock.hpp"
 #include "pooling/backend_pool.hpp"
 #include "pooling/freshness.hpp"
+#include "pooling/primary_questions.hpp"
 #include "pooling/primary_rounds.hpp"
 #include "pooling/statement_forwarder.hpp"
 #include "pooling/statement_lease.hpp"
@@ -99,14 +100,20 @@
   bool take_position_seek(const core::GroupName& group, core::Instant now);
   /// False while control's lease is missing: no answer of a primary is certain by itself then.
   [[nodiscard]] bool may_trust_primaries(core::Instant now) const { return agent_.lease_valid(now); }
-  /// Asks the group's databases to show who the primary is, for want of control's lease. See PrimaryProof.
-  void ask_databases(const core::GroupName& group, core::Instant now);
+  /// Asks the group's databases to show who the primary is, for want of control's lease: by an owner of the
+  /// primary, or by itself where this daemon is one or no owner can tell. For a read that came at `moment`.
+  /// See PrimaryProof.
+  void ask_databases(const core::GroupName& group, core::Instant moment, core::Instant now);
+  /// What this daemon, as an owner, shows to others that ask. Fails with kUnavailable when the databases
+  /// don't show the primary in time.
+  boost::asio::awaitable<core::Result<ShownPrimaryReply>> show_primary(ShownPrimaryRequest request);
   /// True when the databases have shown, by answers to questions sent at or after `moment`, that the log of
   /// the group's primary holds every write acknowledged before it.
   [[nodiscard]] bool primary_shown_since(const core::GroupName& group, core::Instant moment) const;
   /// The last moment at which some group's primary was shown by its databases; the clock's epoch when none
   /// was.
   [[nodiscard]] core::Instant last_shown_primary() const { return last_shown_; }
+  [[nodiscard]] const QuestionCounters& primary_questions() const { return questions_.counters(); }
   [[nodiscard]] const RoundCounters& rounds() const { return rounds_.counters(); }
 
   /// How long the group has had no primary that this daemon can use and surely
@@ -150,6 +157,9 @@
   void note_missing_primaries(core::Instant now);
   boost::asio::awaitable<core::Result<BackendStatus>> ask_status(std::shared_ptr<BackendPool> pool,
                                                                  core::Duration timeout);
+  [[nodiscard]] std::optional<RoundSubject> round_subject(const core::GroupName& group,
+                                                          core::Instant now) const;
+  bool ask_owners_of_primary(const core::GroupName& group, core::Instant moment, core::Instant now);
   void note_shown(const core::GroupName& group, const ShownPrimary& shown);
   [[nodiscard]] bool recently_certain(const core::GroupName& group, core::Instant now) const;
   void report_suspicions(core::Instant now);
@@ -173,6 +183,7 @@
   core::ZoneName zone_;
   StatementForwarder forwarder_;
   PrimaryRounds rounds_;
+  PrimaryQuestions questions_;
   core::Instant last_shown_{};
   std::map<core::GroupName, GroupView> groups_;
   std::map<core::DatabaseId, protocol::Suspicion> suspicions_;  ///< As last told.
--- a/src/pooling/backends_positions.cpp
+++ b/src/pooling/backends_positions.cpp
@@ -4,19 +4,14 @@
 #include <utility>
 
 #include "pooling/backends.hpp"
+#include "pooling/told_age.hpp"
 
 namespace pipitpond::pooling {
 
 namespace {
 
-/// Clocks of two daemons may differ in rate by one part in so many (5%): ages are told that much greater.
-constexpr int kClockRatePart = 20;
-/// What rounding to milliseconds may add to an age.
-constexpr core::Duration kAgeRounding = std::chrono::milliseconds(2);
-
 AgedPosition aged(const ShownPosition& shown, core::Instant now) {
-  const std::int64_t age_ms = core::to_millis(now - shown.sent);
-  return AgedPosition{static_cast<std::uint32_t>(age_ms + age_ms / kClockRatePart + 1), shown.position};
+  return AgedPosition{told_age_ms(now - shown.sent), shown.position};
 }
 
 }  // namespace
@@ -60,11 +55,18 @@
   }
 }
 
-void Backends::ask_databases(const core::GroupName& group, core::Instant now) {
+void Backends::ask_databases(const core::GroupName& group, core::Instant moment, core::Instant now) {
+  const std::optional<RoundSubject> subject = round_subject(group, now);
+  if (subject && !ask_owners_of_primary(group, moment, now)) {
+    rounds_.ask(now, *subject);
+  }
+}
+
+std::optional<RoundSubject> Backends::round_subject(const core::GroupName& group, core::Instant now) const {
   const GroupView* view = find(group);
   const bool may_ask = view != nullptr && view->acknowledges_by_receipt;
   if (!may_ask || !view->members.contains(view->primary)) {
-    return;
+    return std::nullopt;
   }
   RoundSubject subject{group, view->primary, {}, view->members.size()};
   for (const auto& [id, member] : view->members) {
@@ -73,7 +75,38 @@
       subject.pools.push_back(member.pool);
     }
   }
-  rounds_.ask(now, subject);
+  return subject;
+}
+
+/// False when this daemon must ask the databases itself.
+bool Backends::ask_owners_of_primary(const core::GroupName& group, core::Instant moment, core::Instant now) {
+  const GroupView& view = groups_.at(group);
+  const std::shared_ptr<BackendPool>& pool = view.members.at(view.primary).pool;
+  if (!should_pass_on(*pool, now)) {
+    return false;
+  }
+  const AskOwner ask_owner = [this, pool](std::vector<core::DaemonId>& tried, ShownPrimaryRequest request) {
+    const std::vector<core::DaemonId>& owners = agent_.owner_table().owners(pool->address().database);
+    return forwarder_.shown_primary(pool, owners, tried, std::move(request));
+  };
+  return questions_.ask(now, moment, QuestionSubject{group, {view.primary, view.term}, ask_owner});
+}
+
+boost::asio::awaitable<core::Result<ShownPrimaryReply>> Backends::show_primary(ShownPrimaryRequest request) {
+  const core::Instant arrived = core::BootClock::now();
+  const core::Instant earliest = earliest_round(request, arrived);
+  const core::Duration most =
+      std::min<core::Duration>(std::chrono::milliseconds(request.timeout_ms), kOwnersProofTimeout);
+  const SubjectSource subject = [this, group = request.group](core::Instant now) {
+    return round_subject(group, now);
+  };
+  const auto shown = co_await rounds_.await_shown(request.group, subject, earliest, arrived + most);
+  const GroupView* view = find(request.group);
+  if (!shown || view == nullptr || shown->primary != view->primary) {
+    co_return core::fail(core::ErrorKind::kUnavailable, "The databases did not show the primary in time.",
+                         "Ask another owner, or the databases.");
+  }
+  co_return told(*shown, view->term, arrived);
 }
 
 boost::asio::awaitable<core::Result<BackendStatus>> Backends::ask_status(std::shared_ptr<BackendPool> pool,
@@ -148,8 +181,7 @@
     return reply;
   }
   const core::Duration most_age = std::chrono::milliseconds(request.max_age_ms);
-  const core::Duration counted = most_age * kClockRatePart / (kClockRatePart + 1) - kAgeRounding;
-  const ShownPosition* oldest = view->positions.oldest_covering(now - counted);
+  const ShownPosition* oldest = view->positions.oldest_covering(now - countable_age(most_age));
   if (oldest == nullptr) {
     return reply;
   }
--- a/src/pooling/caller_session_search.cpp
+++ b/src/pooling/caller_session_search.cpp
@@ -149,7 +149,7 @@
     return nullptr;
   }
   if (!services_.backends.may_trust_primaries(now)) {
-    services_.backends.ask_databases(group, now);
+    services_.backends.ask_databases(group, search.started, now);
     return "the primary is not certain";
   }
   if (!need.primary && services_.backends.awaits_position(group)) {
--- a/src/pooling/forward_service.cpp
+++ b/src/pooling/forward_service.cpp
@@ -96,6 +96,13 @@
     }
     co_return wire::pack(backends_.known_positions(request.value(), core::BootClock::now()));
   }
+  if (type == wire::MessageType::kShownPrimary) {
+    const auto request = wire::unpack<ShownPrimaryRequest>(body);
+    if (!request) {
+      co_return request.error();
+    }
+    co_return co_await show_primary(request.value());
+  }
   if (type == wire::MessageType::kQuota) {
     const auto request = wire::unpack<QuotaRequest>(body);
     if (!request) {
@@ -203,6 +210,14 @@
   co_return wire::pack(status.value());
 }
 
+awaitable<core::Result<std::string>> ForwardService::show_primary(ShownPrimaryRequest asked) {
+  const auto shown = co_await backends_.show_primary(std::move(asked));
+  if (!shown) {
+    co_return shown.error();
+  }
+  co_return wire::pack(shown.value());
+}
+
 void ForwardService::end(wire::PeerId peer, ForwardedTransaction transaction) {
   const auto found = transactions_.find(transaction);
   if (found != transactions_.end() && found->second->peer == peer) {
--- a/src/pooling/forward_service.hpp
+++ b/src/pooling/forward_service.hpp
@@ -59,6 +59,7 @@
   boost::asio::awaitable<core::Result<std::string>> run_in_transaction(HeldPointer held,
                                                                        ForwardedStatement asked);
   boost::asio::awaitable<core::Result<std::string>> ask_status(ForwardedStatusRequest asked);
+  boost::asio::awaitable<core::Result<std::string>> show_primary(ShownPrimaryRequest asked);
   void end(wire::PeerId peer, ForwardedTransaction transaction);
 
   Backends& backends_;
--- a/src/pooling/primary_rounds.cpp
+++ b/src/pooling/primary_rounds.cpp
@@ -1,7 +1,10 @@
 #include "pooling/primary_rounds.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "logging/logging.hpp"
 #include "pooling/primary_proof.hpp"
@@ -29,11 +32,16 @@
   bool concluded = false;
 };
 
-void PrimaryRounds::ask(core::Instant now, const RoundSubject& subject) {
-  std::shared_ptr<GroupState>& state = groups_[subject.group];
+std::shared_ptr<PrimaryRounds::GroupState> PrimaryRounds::state_of(const core::GroupName& group) {
+  std::shared_ptr<GroupState>& state = groups_[group];
   if (!state) {
     state = std::make_shared<GroupState>();
   }
+  return state;
+}
+
+void PrimaryRounds::ask(core::Instant now, const RoundSubject& subject) {
+  const std::shared_ptr<GroupState> state = state_of(subject.group);
   const bool resting = state->last_begun != core::Instant{} && now - state->last_begun < kRoundInterval;
   if (state->under_way || resting || subject.pools.empty()) {
     return;
@@ -72,16 +80,60 @@
   round.concluded = true;
   state.under_way.reset();
   log_outcome(state, round);
-  if (!position) {
-    return;
+  if (position) {
+    ++counters_.shown;
+    keep(round.group, state, ShownPrimary{round.primary, round.begun, *position});
+  }
+  for (boost::asio::steady_timer* timer : state.waiting) {
+    timer->cancel();
+  }
+}
+
+/// An answer that was long on its way never takes the place of one that shows more.
+void PrimaryRounds::keep(const core::GroupName& group, GroupState& state, const ShownPrimary& shown) {
+  if (!state.shown || state.shown->begun <= shown.begun) {
+    state.shown = shown;
   }
-  ++counters_.shown;
-  state.shown = ShownPrimary{round.primary, round.begun, *position};
   if (callback_) {
-    callback_(round.group, *state.shown);
+    callback_(group, shown);
+  }
+}
+
+void PrimaryRounds::note_told(const core::GroupName& group, const ShownPrimary& shown) {
+  keep(group, *state_of(group), shown);
+}
+
+awaitable<std::optional<ShownPrimary>> PrimaryRounds::await_shown(core::GroupName group,
+                                                                  SubjectSource subject,
+                                                                  core::Instant earliest,
+                                                                  core::Instant deadline) {
+  const std::shared_ptr<GroupState> state = state_of(group);
+  while (true) {
+    if (state->shown && state->shown->begun >= earliest) {
+      co_return state->shown;
+    }
+    const core::Instant now = core::BootClock::now();
+    const std::optional<RoundSubject> asked = subject(now);
+    if (now >= deadline || !asked) {
+      co_return std::nullopt;
+    }
+    ask(now, *asked);
+    const core::Instant rest_ends = state->last_begun + kRoundInterval;
+    const core::Instant next_try = rest_ends > now ? rest_ends : now + kRoundInterval;
+    co_await await_round(io_, state, state->under_way ? deadline : std::min(deadline, next_try));
   }
 }
 
+/// Until the round under way ends, or the deadline.
+awaitable<void> PrimaryRounds::await_round(boost::asio::io_context& io, std::shared_ptr<GroupState> state,
+                                           core::Instant deadline) {
+  boost::asio::steady_timer timer(io, deadline - core::BootClock::now());
+  boost::system::error_code ignored;
+  state->waiting.insert(&timer);
+  co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  state->waiting.erase(&timer);
+}
+
 /// Only when it differs from that of the last round.
 void PrimaryRounds::log_outcome(GroupState& state, const Round& round) {
   const bool succeeded = round.proof.position().has_value();
--- a/src/pooling/primary_rounds.hpp
+++ b/src/pooling/primary_rounds.hpp
@@ -6,28 +6,23 @@
 //
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "core/log_position.hpp"
 #include "pooling/backend_pool.hpp"
+#include "pooling/shown_primary.hpp"
 
 namespace pipitpond::pooling {
 
-/// What a round has shown: every write acknowledged before `begun` is in the log of `primary`, up to
-/// `position`.
-struct ShownPrimary {
-  core::DatabaseId primary;
-  core::Instant begun{};
-  core::LogPosition position;
-};
-
 /// Asks one database for its status, within a time.
 using AskStatus = std::function<boost::asio::awaitable<core::Result<BackendStatus>>(
     std::shared_ptr<BackendPool>, core::Duration)>;
@@ -40,6 +35,9 @@
   std::size_t members = 0;                          ///< All that the configuration lists.
 };
 
+/// Tells the subject of the next round.
+using SubjectSource = std::function<std::optional<RoundSubject>(core::Instant)>;
+
 /// Counts since the start.
 struct RoundCounters {
   std::uint64_t begun = 0;
@@ -54,7 +52,16 @@
 
   /// Begins a round unless one is under way or the last one began less than kRoundInterval ago.
   void ask(core::Instant now, const RoundSubject& subject);
-  /// What the last successful round of a group has shown; null before the first.
+  /// Waits until a round that began at `earliest` or later has shown the group's primary, and begins rounds
+  /// until one has. `subject` tells whom to ask now, or nothing when no round can be begun any more. Empty
+  /// when nothing was shown before the deadline.
+  boost::asio::awaitable<std::optional<ShownPrimary>> await_shown(core::GroupName group,
+                                                                  SubjectSource subject,
+                                                                  core::Instant earliest,
+                                                                  core::Instant deadline);
+  /// Another daemon's round has shown a primary. Counts like one of this daemon.
+  void note_told(const core::GroupName& group, const ShownPrimary& shown);
+  /// The last that a round of a group has shown, of this daemon or told by another; null before the first.
   [[nodiscard]] const ShownPrimary* shown(const core::GroupName& group) const;
   /// Called for each round that has shown a primary.
   void on_shown(std::function<void(const core::GroupName&, const ShownPrimary&)> callback) {
@@ -68,12 +75,17 @@
     std::shared_ptr<Round> under_way;
     core::Instant last_begun{};
     std::optional<ShownPrimary> shown;
-    std::optional<bool> last_succeeded;  ///< As last logged.
+    std::optional<bool> last_succeeded;            ///< As last logged.
+    std::set<boost::asio::steady_timer*> waiting;  ///< For the end of the round that is under way.
   };
 
   static boost::asio::awaitable<void> ask_one(std::weak_ptr<GroupState> state, std::shared_ptr<Round> round,
                                               std::shared_ptr<BackendPool> pool);
   void conclude(GroupState& state, Round& round);
+  std::shared_ptr<GroupState> state_of(const core::GroupName& group);
+  static boost::asio::awaitable<void> await_round(boost::asio::io_context& io,
+                                                  std::shared_ptr<GroupState> state, core::Instant deadline);
+  void keep(const core::GroupName& group, GroupState& state, const ShownPrimary& shown);
   static void log_outcome(GroupState& state, const Round& round);
 
   boost::asio::io_context& io_;
--- a/src/pooling/statement_forwarder.cpp
+++ b/src/pooling/statement_forwarder.cpp
@@ -9,6 +9,7 @@
 #include "logging/logging.hpp"
 #include "ownership/owner_choice.hpp"
 #include "pooling/owner_preference.hpp"
+#include "pooling/primary_questions.hpp"
 #include "wire/codec.hpp"
 
 namespace pipitpond::pooling {
@@ -37,6 +38,19 @@
          error.kind != core::ErrorKind::kNoCapacity && error.kind != core::ErrorKind::kLeaving;
 }
 
+/// Answers of any kind show that the owner lives.
+void note_sign_of_life(OwnerLink& link, BatchNumber number, const core::Result<std::string>& reply) {
+  const core::Instant now = core::BootClock::now();
+  const core::ErrorKind kind = reply ? core::ErrorKind::kUnavailable : reply.error().kind;
+  const bool unreached = kind == core::ErrorKind::kConnectionLost || kind == core::ErrorKind::kTimeout ||
+                         kind == core::ErrorKind::kConnectionRefused;
+  if (unreached) {
+    link.health.on_abandoned(now, number, kind != core::ErrorKind::kTimeout);
+  } else {
+    link.health.on_answered(now, number);
+  }
+}
+
 /// The part of a session's state that the statement needs.
 SessionState state_for(const SessionState& session, const Statement& statement) {
   SessionState needed;
@@ -155,21 +169,13 @@
 
   /// Answers of any kind show that the owner lives; what it says of the database is not held against it.
   void note(OwnerLink& link, BatchNumber number, const core::Result<std::string>& reply, core::Instant now) {
+    note_sign_of_life(link, number, reply);
     if (reply) {
-      link.health.on_answered(now, number);
       return;
     }
-    const core::ErrorKind kind = reply.error().kind;
-    if (kind == core::ErrorKind::kLeaving) {
+    if (reply.error().kind == core::ErrorKind::kLeaving) {
       link.avoided_until = now + kAvoidLeaving;
     }
-    const bool unreached = kind == core::ErrorKind::kConnectionLost || kind == core::ErrorKind::kTimeout ||
-                           kind == core::ErrorKind::kConnectionRefused;
-    if (unreached) {
-      link.health.on_abandoned(now, number, kind != core::ErrorKind::kTimeout);
-    } else {
-      link.health.on_answered(now, number);
-    }
     ++(may_have_run(reply.error()) ? forwarder_.counters_.lost : forwarder_.counters_.not_run);
   }
 
@@ -266,6 +272,26 @@
   co_return reply;
 }
 
+awaitable<core::Result<ShownPrimaryReply>> StatementForwarder::shown_primary(
+    std::shared_ptr<BackendPool> primary, std::vector<core::DaemonId> owners,
+    std::vector<core::DaemonId>& tried, ShownPrimaryRequest request) {
+  const core::Instant sent = core::BootClock::now();
+  const LinkPointer link = choose(owners, tried, *primary, {}, sent);
+  if (!link) {
+    co_return not_run("No daemon that owns connections to the primary can be reached.");
+  }
+  tried.push_back(link->daemon);
+  const BatchNumber number = link->health.on_sent(sent, false);
+  const core::Duration timeout = std::chrono::milliseconds(request.timeout_ms) + kProofWay;
+  const auto answer =
+      co_await link->channel->call(wire::MessageType::kShownPrimary, wire::pack(request), timeout);
+  note_sign_of_life(*link, number, answer);
+  if (!answer) {
+    co_return answer.error();
+  }
+  co_return wire::unpack<ShownPrimaryReply>(answer.value());
+}
+
 StatementForwarder::LinkPointer StatementForwarder::choose(const std::vector<core::DaemonId>& owners,
                                                            const std::vector<core::DaemonId>& tried,
                                                            const BackendPool& pool,
--- a/src/pooling/statement_forwarder.hpp
+++ b/src/pooling/statement_forwarder.hpp
@@ -15,6 +15,7 @@
 #include "pooling/backend_health.hpp"
 #include "pooling/backend_pool.hpp"
 #include "pooling/forward_messages.hpp"
+#include "pooling/shown_primary.hpp"
 #include "pooling/statement_lease.hpp"
 #include "protocol/configuration.hpp"
 #include "wire/channel.hpp"
@@ -86,6 +87,14 @@
                                                                 PositionRequest request,
                                                                 core::Duration timeout);
 
+  /// Has the best of the owners that were not tried show who a group's primary is, and adds it to `tried`.
+  /// Fails with kConnectionRefused and tries none when none can be reached, else as the owner or the way to
+  /// it.
+  boost::asio::awaitable<core::Result<ShownPrimaryReply>> shown_primary(std::shared_ptr<BackendPool> primary,
+                                                                        std::vector<core::DaemonId> owners,
+                                                                        std::vector<core::DaemonId>& tried,
+                                                                        ShownPrimaryRequest request);
+
   [[nodiscard]] const ForwardCounters& counters() const { return counters_; }
 
  private:
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -20,6 +20,8 @@
       11,       ///< pooling::ForwardedStatusRequest -> pooling::BackendStatus, daemon to owner daemon.
   kQuota = 13,  ///< pooling::QuotaRequest -> pooling::QuotaReply, daemon to a tenant's home daemon.
   kPrimaryPositions = 12,  ///< pooling::PositionRequest -> pooling::PositionReply, daemon to owner daemon.
+  kShownPrimary =
+      14,  ///< pooling::ShownPrimaryRequest -> pooling::ShownPrimaryReply, daemon to owner daemon.
 };
 
 }  // namespace pipitpond::wire
--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -40,10 +40,12 @@
   int max_connections = 100;
   std::shared_ptr<int> open_connections = std::make_shared<int>(0);  ///< Outlives the database, as they may.
   core::Duration work{};                                             ///< Of each batch.
+  core::Duration status_work{};                                      ///< Of each question for its status.
   bool silent = false;                     ///< Batches get no answer until their time-out.
   std::vector<FailureCode> next_failures;  ///< Of the next statements of callers.
   bool break_after_running = false;        ///< The next batch runs, and its connection breaks.
   bool tells_no_status = false;            ///< Questions for its status get no answer.
+  int statuses_asked = 0;
   std::vector<RanStatement> ran;
 };
 
@@ -87,6 +89,10 @@
   }
 
   boost::asio::awaitable<core::Result<BackendStatus>> status(core::Duration) override {
+    ++database_.statuses_asked;
+    if (database_.status_work > core::Duration::zero()) {
+      co_await pause_for(io_, database_.status_work);
+    }
     if (database_.tells_no_status) {
       co_return core::fail(core::ErrorKind::kOverloaded, "No slot is free.", "Ask again.");
     }
--- a/tests/pooling/primary_proof_test.cpp
+++ b/tests/pooling/primary_proof_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include "pooling/shown_primary.hpp"
+
 #include <algorithm>
 #include <array>
 #include <optional>
@@ -93,23 +95,59 @@
   std::size_t acknowledged_before = 0;  ///< Writes acknowledged when the round began.
   PrimaryProof proof;
   std::vector<std::size_t> to_ask;
+  core::Duration begun{};  ///< By the model's true time.
+};
+
+/// A daemon's clock: it differs from the true time in rate and in what it calls zero.
+struct ModelClock {
+  double rate = 1;
+  core::Duration offset{};
+
+  [[nodiscard]] core::Instant at(core::Duration real) const {
+    return core::Instant{} + offset + core::Duration(static_cast<core::Duration::rep>(real.count() * rate));
+  }
+  [[nodiscard]] core::Duration real(core::Instant instant) const {
+    const core::Duration since = instant - core::Instant{} - offset;
+    return core::Duration(static_cast<core::Duration::rep>(since.count() / rate));
+  }
+};
+
+/// A question from one daemon to an owner, which runs the rounds.
+struct ModelQuestion {
+  ShownPrimaryRequest request;
+  core::Instant asked;                   ///< By the asker's clock.
+  std::optional<core::Instant> arrived;  ///< By the owner's.
+  std::optional<ShownPrimaryReply> reply;
 };
 
 /// How a round is judged.
-enum class Rule : std::uint8_t { kProof, kOwnWord };
+enum class Rule : std::uint8_t {
+  kProof,
+  kOwnWord,
+  kTold,             ///< A proof counts at a daemon to which an owner tells it.
+  kToldFromArrival,  ///< The same with its age counted from the answer, not from the question.
+};
 
 class GroupModel {
  public:
-  GroupModel(std::uint64_t seed, Rule rule) : random_(seed), rule_(rule) { databases_[0].primary = true; }
+  GroupModel(std::uint64_t seed, Rule rule) : random_(seed), rule_(rule), telling_random_(seed) {
+    databases_[0].primary = true;
+    owner_clock_ = any_clock();
+    asker_clock_ = any_clock();
+  }
 
   /// Empty, or what a proof promised and did not hold.
   std::string play(int steps) {
     for (int step = 0; step < steps && finding_.empty(); ++step) {
       take_step();
+      if (rule_ == Rule::kTold || rule_ == Rule::kToldFromArrival) {
+        take_telling_step();
+      }
     }
     return finding_;
   }
   [[nodiscard]] std::size_t proofs() const { return proofs_; }
+  [[nodiscard]] std::size_t told_proofs() const { return told_proofs_; }
 
  private:
   std::size_t any() { return random_() % kDatabases; }
@@ -167,6 +205,7 @@
     primary.log.push_back({primary.term, primary.log.size() + 1});
     if (!one_in(4) && replicate(at, any())) {
       acknowledged_.push_back(primary.log.back());
+      acknowledged_at_.push_back(now_);
     }
   }
 
@@ -232,6 +271,7 @@
     const std::size_t presumed = any();
     ModelRound round{presumed, acknowledged_.size(), PrimaryProof(kIds.at(presumed), kDatabases), {0, 1, 2}};
     std::shuffle(round.to_ask.begin(), round.to_ask.end(), random_);
+    round.begun = now_;
     round_.emplace(std::move(round));
   }
 
@@ -252,8 +292,10 @@
     status.held_term = database.held_term;
     round_->proof.note(kIds.at(asked), status);
     const bool own_word = rule_ == Rule::kOwnWord && asked == round_->presumed && status.primary;
-    if (own_word || (rule_ == Rule::kProof && round_->proof.position())) {
+    if (own_word || (rule_ != Rule::kOwnWord && round_->proof.position())) {
       judge(*round_);
+      const core::Instant begun = owner_clock_.at(round_->begun);
+      shown_ = ShownPrimary{kIds.at(round_->presumed), begun, round_->proof.position().value_or(last(asked))};
       round_.reset();
     }
   }
@@ -271,8 +313,75 @@
     }
   }
 
+  // --- An owner that tells a daemon what its rounds have shown
+
+  ModelClock any_clock() {
+    constexpr double kRateStep = 0.001;  // Up to 2% fast or slow, 4.1% between the two.
+    const double rate = 1 + kRateStep * (static_cast<double>(telling_random_() % 41) - 20);
+    return ModelClock{rate, std::chrono::seconds(1000 + telling_random_() % 1000)};
+  }
+
+  /// Questions and answers take any time, and answers may come twice.
+  void take_telling_step() {
+    now_ += std::chrono::milliseconds(telling_random_() % 20);
+    const std::uint64_t kind = telling_random_() % 10;
+    if (kind == 0) {
+      now_ += std::chrono::milliseconds(telling_random_() % 2000);  // All are frozen.
+    } else if (kind < 3 && questions_.size() < 4) {
+      ModelQuestion question;
+      question.request.max_age_ms = telling_random_() % 2 == 0 ? 0 : telling_random_() % 1000;
+      question.asked = asker_clock_.at(now_);
+      questions_.push_back(question);
+    } else if (!questions_.empty()) {
+      go_on_with(telling_random_() % questions_.size());
+    }
+  }
+
+  void go_on_with(std::size_t which) {
+    ModelQuestion& question = questions_.at(which);
+    if (!question.arrived) {
+      question.arrived = owner_clock_.at(now_);
+    } else if (!question.reply) {
+      if (shown_ && shown_->begun >= earliest_round(question.request, *question.arrived)) {
+        question.reply = told(*shown_, 1, *question.arrived);
+      }
+    } else {
+      judge_told(question);
+      if (telling_random_() % 2 == 0) {
+        questions_.erase(questions_.begin() + static_cast<std::ptrdiff_t>(which));
+      }
+    }
+  }
+
+  /// Every write that was acknowledged before the moment from which the asker counts.
+  void judge_told(const ModelQuestion& question) {
+    const core::Instant counted_from = rule_ == Rule::kTold ? question.asked : asker_clock_.at(now_);
+    const auto understood_now = understood(*question.reply, {question.reply->primary, 1}, counted_from);
+    ASSERT_TRUE(understood_now);
+    ++told_proofs_;
+    const core::Duration begun = asker_clock_.real(understood_now->begun) - std::chrono::microseconds(1);
+    const auto which = std::find(kIds.begin(), kIds.end(), understood_now->primary) - kIds.begin();
+    const auto& log = databases_.at(static_cast<std::size_t>(which)).log;
+    for (std::size_t write = 0; write < acknowledged_.size() && acknowledged_at_.at(write) < begun; ++write) {
+      const core::LogPosition& needed = acknowledged_.at(write);
+      const bool held = std::find(log.begin(), log.end(), needed) != log.end();
+      if (!held || needed > understood_now->position) {
+        finding_ = "told: database " + understood_now->primary.value() + " lacks " +
+                   std::to_string(needed.term) + "." + std::to_string(needed.index);
+      }
+    }
+  }
+
   std::mt19937_64 random_;
   Rule rule_;
+  std::mt19937_64 telling_random_;  ///< Of its own, so that the other rules play as without it.
+  core::Duration now_{};
+  ModelClock owner_clock_;
+  ModelClock asker_clock_;
+  std::vector<core::Duration> acknowledged_at_;
+  std::optional<ShownPrimary> shown_;
+  std::vector<ModelQuestion> questions_;
+  std::size_t told_proofs_ = 0;
   std::array<ModelDatabase, kDatabases> databases_;
   std::vector<core::LogPosition> acknowledged_;
   core::Term newest_term_ = 1;
@@ -295,6 +404,24 @@
   EXPECT_GT(proofs, kSeeds) << "the model shows hardly any primary";
 }
 
+TEST(PrimaryProofModelTest, NoProofThatAnOwnerTellsIsEverWrong) {
+  std::size_t proofs = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    GroupModel model(seed, Rule::kTold);
+    ASSERT_EQ(model.play(kSteps), "") << "seed " << seed;
+    proofs += model.told_proofs();
+  }
+  EXPECT_GT(proofs, kSeeds) << "the model tells hardly any proof";
+}
+
+TEST(PrimaryProofModelTest, ToldAgesCountedFromTheAnswerWouldBeWrong) {
+  bool wrong = false;
+  for (std::uint64_t seed = 1; seed <= kSeeds && !wrong; ++seed) {
+    wrong = !GroupModel(seed, Rule::kToldFromArrival).play(kSteps).empty();
+  }
+  EXPECT_TRUE(wrong);
+}
+
 TEST(PrimaryProofModelTest, ThePrimarysOwnWordWouldBeWrong) {
   bool wrong = false;
   for (std::uint64_t seed = 1; seed <= kSeeds && !wrong; ++seed) {
--- /dev/null
+++ b/tests/pooling/shown_primary_test.cpp
@@ -0,0 +1,303 @@
+// Proofs of who is the primary that owners tell: the messages by cases, and an owner with daemons that ask it
+// over real connections.
+#include "pooling/shown_primary.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "pooling/daemon_parts.hpp"
+#include "pooling/forward_service.hpp"
+#include "support/coroutine.hpp"
+#include "wire/codec.hpp"
+#include "wire/server.hpp"
+
+namespace pipitpond::pooling {
+namespace {
+
+using std::chrono::milliseconds;
+
+const core::GroupName kGroup("g");
+const core::DatabaseId kA("a");
+const core::Instant kArrived = core::Instant{} + std::chrono::hours(1);
+
+ShownPrimaryRequest question(std::uint32_t max_age_ms) {
+  ShownPrimaryRequest request;
+  request.group = kGroup;
+  request.max_age_ms = max_age_ms;
+  request.timeout_ms = 120;
+  return request;
+}
+
+TEST(ShownPrimaryTest, OnlyARoundThatBeganAfterAFreshQuestionServesIt) {
+  EXPECT_EQ(earliest_round(question(0), kArrived), kArrived);
+  EXPECT_EQ(earliest_round(question(1), kArrived), kArrived);
+}
+
+TEST(ShownPrimaryTest, ARoundThatServesIsToldAsYoungEnoughAndNeverTooYoung) {
+  for (std::uint32_t max_age = 0; max_age < 3000; ++max_age) {
+    const core::Instant earliest = earliest_round(question(max_age), kArrived);
+    const ShownPrimaryReply reply = told(ShownPrimary{kA, earliest, {1, 5}}, 1, kArrived);
+    ASSERT_LE(reply.age_ms, max_age);
+    ASSERT_GE(milliseconds(reply.age_ms) * 20, (kArrived - earliest) * 21) << "the asker's clock may be fast";
+  }
+}
+
+TEST(ShownPrimaryTest, ARoundThatBeganLaterCountsFromTheQuestion) {
+  const ShownPrimaryReply reply = told(ShownPrimary{kA, kArrived + milliseconds(300), {1, 5}}, 1, kArrived);
+  const core::Instant asked = core::Instant{} + std::chrono::hours(7);
+  const auto shown = understood(reply, {kA, 1}, asked);
+  ASSERT_TRUE(shown);
+  EXPECT_EQ(shown->begun, asked) << "an answer that is late, or of a frozen owner, is no younger";
+  EXPECT_EQ(shown->position, (core::LogPosition{1, 5}));
+}
+
+TEST(ShownPrimaryTest, AnotherPrimaryOrTermShowsNothing) {
+  const ShownPrimaryReply reply{kA, 4, {4, 20}, 0};
+  EXPECT_TRUE(understood(reply, {kA, 4}, kArrived));
+  EXPECT_FALSE(understood(reply, {kA, 3}, kArrived));
+  EXPECT_FALSE(understood(reply, {kA, 5}, kArrived));
+  EXPECT_FALSE(understood(reply, {core::DatabaseId("b"), 4}, kArrived));
+}
+
+TEST(ShownPrimaryTest, AnyBytesAreAnAnswerThatIsNoYoungerThanTheQuestionOrNone) {
+  std::mt19937_64 random(1);
+  const std::string sound = wire::pack(ShownPrimaryReply{kA, 4, {4, 20}, 17});
+  const core::Instant asked = core::Instant{} + std::chrono::hours(7);
+  for (int round = 0; round < 20000; ++round) {
+    std::string bytes = sound.substr(0, random() % 8 == 0 ? random() % sound.size() : sound.size());
+    for (std::uint64_t changes = random() % 4; changes > 0 && !bytes.empty(); --changes) {
+      bytes.at(random() % bytes.size()) = static_cast<char>(random());
+    }
+    const auto reply = wire::unpack<ShownPrimaryReply>(bytes);
+    const auto shown = reply ? understood(reply.value(), {kA, 4}, asked) : std::nullopt;
+    ASSERT_TRUE(!shown || shown->begun <= asked);
+  }
+}
+
+// --- An owner and those that ask it
+// ------------------------------------------------------------------------------
+
+constexpr int kAskers = 20;
+
+class ProofSharingTest : public ::testing::Test {
+ protected:
+  ProofSharingTest() : owner_(io_, "owner", "zone-owner"), service_(owner_.backends, owner_.access) {
+    auto server = wire::Server::start(
+        io_, "127.0.0.1", 0,
+        [this](wire::PeerId peer, wire::MessageType type, std::string body) {
+          return handle(peer, type, std::move(body));
+        },
+        [this](wire::PeerId peer) { service_.peer_closed(peer); });
+    server_ = std::move(server.value());
+    owner_.connector.database("a").primary = true;
+    owner_.agent.lease = false;
+    configuration_ = configuration();
+    owner_.apply(configuration_);
+    for (int number = 0; number < kAskers; ++number) {
+      askers_.push_back(std::make_unique<DaemonParts>(io_, asker_name(number), "zone-asking"));
+      askers_.back()->agent.lease = false;
+      askers_.back()->apply(configuration_);
+    }
+  }
+
+  static std::string asker_name(int number) { return "asking-" + std::to_string(number); }
+
+  /// Only "owner", which is in the databases' zone, owns connections.
+  [[nodiscard]] protocol::Configuration configuration() const {
+    protocol::Configuration configuration = example_configuration();
+    configuration.daemons.clear();
+    for (protocol::Route& route : configuration.routes.routes) {
+      route.timeout_ms = 1500;
+    }
+    for (protocol::Database& database : configuration.groups.begin()->second.databases) {
+      database.zone = core::ZoneName("zone-owner");
+      database.max_owners = 1;
+    }
+    add_daemon(configuration, "owner", "zone-owner");
+    for (int number = 0; number < kAskers; ++number) {
+      add_daemon(configuration, asker_name(number), "zone-asking");
+    }
+    return configuration;
+  }
+
+  void add_daemon(protocol::Configuration& configuration, const std::string& name,
+                  const std::string& zone) const {
+    protocol::Daemon daemon;
+    daemon.id = core::DaemonId(name);
+    daemon.zone = core::ZoneName(zone);
+    daemon.internal = {"127.0.0.1", server_->port()};
+    configuration.daemons[daemon.id] = daemon;
+  }
+
+  boost::asio::awaitable<core::Result<std::string>> handle(wire::PeerId peer, wire::MessageType type,
+                                                           std::string body) {
+    if (type == wire::MessageType::kShownPrimary) {
+      ++questions_;
+      if (silent_for_ > 0) {
+        --silent_for_;
+        co_await pause_for(io_, std::chrono::seconds(2));
+      }
+      if (older_version_) {
+        co_return core::fail(core::ErrorKind::kInvalidArgument, "No such message.", "Run the same version.");
+      }
+    }
+    co_return co_await service_.handle(peer, type, std::move(body));
+  }
+
+  StatementReply read(DaemonParts& daemon) {
+    CallerSession session(daemon.services, "writes");
+    return pipitpond::testing::run(io_, session.run(example_statement(StatementKind::kRead)));
+  }
+
+  /// One read at each daemon, all at once; returns how many were answered without failure.
+  int read_at_all() {
+    std::vector<std::unique_ptr<CallerSession>> sessions;
+    std::vector<std::shared_ptr<pipitpond::testing::Pending<StatementReply>>> pending;
+    for (const auto& daemon : askers_) {
+      sessions.push_back(std::make_unique<CallerSession>(daemon->services, "writes"));
+      pending.push_back(
+          pipitpond::testing::start(io_, sessions.back()->run(example_statement(StatementKind::kRead))));
+    }
+    int served = 0;
+    for (const auto& one : pending) {
+      EXPECT_TRUE(pipitpond::testing::run_until(io_, [&] { return one->done(); }));
+      served += one->done() && !one->value->failure ? 1 : 0;
+    }
+    return served;
+  }
+
+  int statuses() {
+    int asked = 0;
+    for (const char* id : {"a", "b", "c"}) {
+      asked += owner_.connector.database(id).statuses_asked;
+    }
+    return asked;
+  }
+
+  void slow_statuses(milliseconds work) {
+    for (const char* id : {"a", "b", "c"}) {
+      owner_.connector.database(id).status_work = work;
+    }
+  }
+
+  auto ask_owner(std::uint32_t max_age_ms) {
+    return pipitpond::testing::start(io_, owner_.backends.show_primary(question(max_age_ms)));
+  }
+
+  void pause(milliseconds duration) {
+    pipitpond::testing::run_until(
+        io_, [] { return false; }, duration);
+  }
+
+  boost::asio::io_context io_;
+  DaemonParts owner_;
+  ForwardService service_;
+  protocol::Configuration configuration_;
+  std::vector<std::unique_ptr<DaemonParts>> askers_;
+  bool older_version_ = false;
+  int silent_for_ = 0;  ///< Questions that get no answer in time.
+  int questions_ = 0;
+  std::unique_ptr<wire::Server> server_;
+};
+
+TEST_F(ProofSharingTest, TwentyDaemonsThatNeedAProofAtOnceCostAFewRounds) {
+  slow_statuses(milliseconds(20));
+  EXPECT_EQ(read_at_all(), kAskers);
+  RecordProperty("statuses_asked", statuses());
+  EXPECT_LE(statuses(), 4 * 3) << "rounds of three statuses each";
+  for (const auto& daemon : askers_) {
+    EXPECT_EQ(daemon->backends.rounds().begun, 0U);
+  }
+}
+
+TEST_F(ProofSharingTest, WithoutTheOwnersRoundsEachDaemonAsksForItself) {
+  older_version_ = true;
+  slow_statuses(milliseconds(20));
+  EXPECT_EQ(read_at_all(), kAskers);
+  RecordProperty("statuses_asked", statuses());
+  EXPECT_GE(statuses(), kAskers) << "else sharing would gain nothing";
+}
+
+TEST_F(ProofSharingTest, AnOwnerThatIsSilentIsFollowedByTheDaemonsOwnRound) {
+  silent_for_ = 100;
+  EXPECT_FALSE(read(*askers_[0]).failure);
+  EXPECT_EQ(questions_, 1);
+  EXPECT_GE(askers_[0]->backends.rounds().begun, 1U);
+  EXPECT_EQ(askers_[0]->backends.primary_questions().told, 0U);
+}
+
+TEST_F(ProofSharingTest, AnOwnerThatIsSilentIsFollowedByTheNextOne) {
+  add_daemon(configuration_, "owner-2", "zone-owner");  // Behind the same server.
+  for (protocol::Database& database : configuration_.groups.begin()->second.databases) {
+    database.max_owners = 2;
+  }
+  askers_[0]->apply(configuration_);
+  silent_for_ = 1;
+  EXPECT_FALSE(read(*askers_[0]).failure);
+  EXPECT_EQ(questions_, 2);
+  EXPECT_EQ(askers_[0]->backends.rounds().begun, 0U);
+  EXPECT_EQ(askers_[0]->backends.primary_questions().told, 1U);
+}
+
+TEST_F(ProofSharingTest, AnOwnerWithATermThatTheDaemonLacksShowsItNothing) {
+  protocol::Configuration newer = configuration_;
+  newer.groups.begin()->second.terms.push_back(protocol::TermStart{2, kA, {}});
+  owner_.apply(newer);
+  EXPECT_FALSE(read(*askers_[0]).failure) << "its own round serves it";
+  EXPECT_EQ(askers_[0]->backends.primary_questions().told, 0U);
+  EXPECT_EQ(askers_[0]->backends.rounds().shown, 1U);
+}
+
+TEST_F(ProofSharingTest, ARoundUnderWayServesNoQuestionThatCameAfterItsBeginning) {
+  slow_statuses(milliseconds(30));
+  const auto first = ask_owner(0);
+  pause(milliseconds(10));
+  const auto second = ask_owner(0);
+  const auto older = ask_owner(500);
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return first->done() && older->done(); }));
+  EXPECT_TRUE(first->value->has_value());
+  ASSERT_TRUE(older->value->has_value());
+  EXPECT_GE(older->value->value().age_ms, 10U);
+  EXPECT_FALSE(second->done()) << "only one that may be older is served by the round under way";
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return second->done(); }));
+  ASSERT_TRUE(second->value->has_value());
+  EXPECT_EQ(second->value->value().age_ms, 0U);
+  EXPECT_EQ(owner_.backends.rounds().begun, 2U);
+}
+
+TEST_F(ProofSharingTest, DatabasesThatShowNothingGetAnErrorInTime) {
+  owner_.connector.database("b").tells_no_status = true;
+  owner_.connector.database("c").tells_no_status = true;
+  const core::Instant begun = core::BootClock::now();
+  const auto asked = ask_owner(0);
+  ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return asked->done(); }));
+  EXPECT_FALSE(asked->value->has_value());
+  EXPECT_LT(core::BootClock::now() - begun, kOwnersProofTimeout + kProofWay);
+}
+
+TEST_F(ProofSharingTest, AnUnknownGroupAndAMalformedQuestionAreRefused) {
+  ShownPrimaryRequest unknown = question(0);
+  unknown.group = core::GroupName("x");
+  for (const std::string& body : {wire::pack(unknown), std::string("\x93nonsense"), std::string()}) {
+    const auto answer =
+        pipitpond::testing::run(io_, service_.handle(1, wire::MessageType::kShownPrimary, body));
+    EXPECT_FALSE(answer);
+  }
+}
+
+TEST_F(ProofSharingTest, AnAnswerThatComesTwiceOrLateTakesNothingBack) {
+  PrimaryRounds rounds(io_, {});
+  rounds.note_told(kGroup, ShownPrimary{kA, kArrived + milliseconds(50), {1, 9}});
+  rounds.note_told(kGroup, ShownPrimary{kA, kArrived, {1, 5}});
+  rounds.note_told(kGroup, ShownPrimary{kA, kArrived, {1, 5}});
+  ASSERT_NE(rounds.shown(kGroup), nullptr);
+  EXPECT_EQ(rounds.shown(kGroup)->begun, kArrived + milliseconds(50));
+  EXPECT_EQ(rounds.shown(kGroup)->position, (core::LogPosition{1, 9}));
+}
+
+}  // namespace
+}  // namespace pipitpond::pooling
--- a/tests/pooling/statement_forward_test.cpp
+++ b/tests/pooling/statement_forward_test.cpp
@@ -2,7 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "pooling/caller_session.hpp"
-#include "pooling/fake_backends.hpp"
+#include "pooling/daemon_parts.hpp"
 #include "pooling/forward_service.hpp"
 #include "support/coroutine.hpp"
 #include "wire/codec.hpp"
@@ -13,31 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/// One daemon's parts.
-struct DaemonParts {
-  DaemonParts(boost::asio::io_context& io, const std::string& name, const std::string& zone)
-      : connector(io),
-        backends(io, connector, agent, core::DaemonId(name), core::ZoneName(zone)),
-        access(io, agent, core::DaemonId(name), core::ZoneName(zone), AccessOptions{}),
-        services{io, backends, routes, access, counters, times, {}} {}
-
-  void apply(const protocol::Configuration& configuration) {
-    agent.set_configuration(configuration);
-    routes.apply(configuration.routes);
-    access.apply(core::BootClock::now(), configuration);
-    backends.apply(configuration);
-  }
-
-  FakeConnector connector;
-  FakeAgent agent;
-  Backends backends;
-  Routes routes;
-  CallerAccess access;
-  PoolingCounters counters;
-  StatementTimes times;
-  SessionServices services;
-};
-
 class StatementForwardTest : public ::testing::Test {
  protected:
   StatementForwardTest()
