--- a/tests/pooling/primary_proof_test.cpp
+++ b/tests/pooling/primary_proof_test.cpp
@@ -104,11 +104,12 @@
   core::Duration offset{};
 
   [[nodiscard]] core::Instant at(core::Duration real) const {
-    return core::Instant{} + offset + core::Duration(static_cast<core::Duration::rep>(real.count() * rate));
+    return core::Instant{} + offset +
+           core::Duration(static_cast<core::Duration::rep>(static_cast<double>(real.count()) * rate));
   }
   [[nodiscard]] core::Duration real(core::Instant instant) const {
     const core::Duration since = instant - core::Instant{} - offset;
-    return core::Duration(static_cast<core::Duration::rep>(since.count() / rate));
+    return core::Duration(static_cast<core::Duration::rep>(static_cast<double>(since.count()) / rate));
   }
 };
 
