--- a/src/pooling/caller_session_search.cpp
+++ b/src/pooling/caller_session_search.cpp
@@ -150,7 +150,7 @@
     return nullptr;
   }
   if (!services_.backends.may_trust_primaries(now)) {
-    services_.backends.ask_databases(group, now);
+    services_.backends.ask_databases(group, search.started, now);
     return "the primary is not certain";
   }
   if (!need.primary && services_.backends.awaits_position(group)) {
@@ -228,6 +228,9 @@
     statement.after = need.after;
     search.after = need.after;
   }
+  if (statement.after) {
+    choice.pool->reach().note_tried(sent, *statement.after);
+  }
   TraceStep sending = step_at(choice, TraceEvent::kSent, choice.is_primary ? "primary" : "replica");
   sending.after = statement.after;
   search.trace.add(sent, std::move(sending));
