--- a/src/configuration/plan.hpp
+++ b/src/configuration/plan.hpp
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "configuration/command.hpp"
 #include "core/error.hpp"
@@ -19,6 +20,9 @@
   std::optional<core::Error> error;
   protocol::Revision current_revision = 0;  ///< Of the thing that the operation is about; 0: none.
   std::optional<protocol::Change> change;
+  /// Databases that self-registered ones have replaced at their endpoints, in order.
+  std::vector<core::DatabaseId> replaced = {};
+  std::vector<RefusedDatabase> refused = {};  ///< Of ChangeDatabases.
 };
 
 /// State that a plan is made against.
--- a/src/configuration/registry_plan.cpp
+++ b/src/configuration/registry_plan.cpp
@@ -1,6 +1,7 @@
 #include "configuration/registry_plan.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 #include <string>
@@ -151,18 +152,27 @@
 }
 
 /// The databases that had this one's endpoint: gone, for an address is used by one at a time.
-void drop_predecessors(const Configuration& configuration, Change& change, const Database& database) {
+std::vector<core::DatabaseId> drop_predecessors(const Configuration& configuration, Change& change,
+                                                const Database& database) {
+  std::vector<core::DatabaseId> replaced;
+  const auto clashes = [&](const Database& other) {
+    return other.id != database.id && other.endpoint == database.endpoint;
+  };
   for (const auto& [name, group] : configuration.groups) {
-    const bool clashes =
-        std::any_of(group.databases.begin(), group.databases.end(), [&](const Database& other) {
-          return other.id != database.id && other.endpoint == database.endpoint;
-        });
-    if (clashes && group.self_registered) {
-      std::erase_if(changed_group(configuration, change, name)->databases, [&](const Database& other) {
-        return other.id != database.id && other.endpoint == database.endpoint;
-      });
+    if (!group.self_registered) {
+      continue;
+    }
+    const std::size_t before = replaced.size();
+    for (const Database& other : group.databases) {
+      if (clashes(other)) {
+        replaced.push_back(other.id);
+      }
+    }
+    if (replaced.size() > before) {
+      std::erase_if(changed_group(configuration, change, name)->databases, clashes);
     }
   }
+  return replaced;
 }
 
 /// The group that has the database, or null.
@@ -177,6 +187,57 @@
   return nullptr;
 }
 
+/// Plans several changes of databases, each against what those before it leave, as one change.
+class DatabasePlans {
+ public:
+  explicit DatabasePlans(const PlanContext& context) : context_(context) {
+    working_.revision = context.configuration.revision;
+    working_.groups = context.configuration.groups;
+    if (context.removed_databases != nullptr) {
+      removed_ = *context.removed_databases;
+    }
+  }
+
+  template <typename DatabaseOperation>
+  void add(const core::DatabaseId& database, const DatabaseOperation& operation) {
+    const PlanContext context{working_, 0, {}, &removed_};
+    Plan plan = plan_one(context, operation);
+    if (plan.error) {
+      planned_.refused.push_back(RefusedDatabase{database, std::move(*plan.error)});
+    } else if (plan.change) {
+      take_up(std::move(plan));
+    }
+  }
+
+  /// One change of all that was accepted.
+  Plan take() {
+    planned_.current_revision = context_.configuration.revision;
+    if (!changed_.empty()) {
+      planned_.change = next_change(context_.configuration);
+    }
+    for (const core::GroupName& name : changed_) {
+      planned_.change->groups.push_back(std::move(working_.groups.at(name)));
+    }
+    return std::move(planned_);
+  }
+
+ private:
+  void take_up(Plan plan) {
+    for (Group& group : plan.change->groups) {
+      changed_.insert(group.name);
+      working_.groups[group.name] = std::move(group);
+    }
+    removed_.insert(plan.replaced.begin(), plan.replaced.end());
+    std::move(plan.replaced.begin(), plan.replaced.end(), std::back_inserter(planned_.replaced));
+  }
+
+  const PlanContext& context_;
+  Configuration working_;  ///< Only what plans of databases look at: the revision and the groups.
+  Members removed_;
+  std::set<core::GroupName> changed_;
+  Plan planned_;
+};
+
 }  // namespace
 
 Plan plan_one(const PlanContext& context, const PutRouteTable& put) {
@@ -240,8 +301,10 @@
   } else {
     group.databases.push_back(next);
   }
-  drop_predecessors(context.configuration, change, next);
-  return Plan{std::nullopt, context.configuration.revision, std::move(change)};
+  Plan planned{std::nullopt, context.configuration.revision, std::nullopt};
+  planned.replaced = drop_predecessors(context.configuration, change, next);
+  planned.change = std::move(change);
+  return planned;
 }
 
 Plan plan_one(const PlanContext& context, const DepartDatabase& departure) {
@@ -260,6 +323,21 @@
   return Plan{std::nullopt, context.configuration.revision, std::move(change)};
 }
 
+Plan plan_one(const PlanContext& context, const ChangeDatabases& changes) {
+  if (changes.registrations.size() + changes.departures.size() > kMaxDatabaseChanges) {
+    return refused(core::ErrorKind::kTooLarge, "A change of databases holds too many of them.",
+                   "Send at most " + std::to_string(kMaxDatabaseChanges) + " together.");
+  }
+  DatabasePlans plans(context);
+  for (const RegisterDatabase& registration : changes.registrations) {
+    plans.add(registration.database.id, registration);
+  }
+  for (const DepartDatabase& departure : changes.departures) {
+    plans.add(departure.database, departure);
+  }
+  return plans.take();
+}
+
 Plan plan_one(const PlanContext& context, const RemoveDatabase& removal) {
   const Group* current = group_of(context.configuration, removal.database);
   if (current == nullptr || !current->self_registered) {
--- a/src/configuration/state_machine.cpp
+++ b/src/configuration/state_machine.cpp
@@ -65,13 +65,14 @@
   const Plan planned = plan(context, command.operation);
   CommandResult result;
   result.error = planned.error;
+  result.refused = planned.refused;
   result.current_revision = planned.current_revision;
   if (planned.error) {
     return result;
   }
   result.revision = planned.current_revision;
   if (planned.change) {
-    accept(command, *planned.change);
+    accept(command, planned);
     result.revision = planned.change->revision;
     result.changed = true;
   }
@@ -79,12 +80,20 @@
   return result;
 }
 
-void StateMachine::accept(const Command& command, const Change& change) {
-  if (const auto* registration = std::get_if<RegisterDatabase>(&command.operation)) {
-    remember_predecessors(registration->database);
+Plan StateMachine::plan_now(const Operation& operation) const {
+  const PlanContext context{state_.configuration, 0, promoted_members_for(operation),
+                            &state_.removed_databases};
+  return plan(context, operation);
+}
+
+void StateMachine::accept(const Command& command, const Plan& planned) {
+  // A heartbeat that a cut has delayed may arrive after its sender has crashed and another database has taken
+  // the address: it must not put the sender back in its successor's place.
+  for (const core::DatabaseId& replaced : planned.replaced) {
+    remember_removal(replaced);
   }
-  protocol::apply(state_.configuration, change);
-  keep_change(change);
+  protocol::apply(state_.configuration, *planned.change);
+  keep_change(*planned.change);
   if (const auto* complete = std::get_if<CompletePrimaryChange>(&command.operation)) {
     remember_members(*complete);
   } else if (const auto* put = std::get_if<PutRouteTable>(&command.operation)) {
@@ -102,19 +111,6 @@
   state_.promoted_members[complete.group] = std::move(members);
 }
 
-// A heartbeat that a cut has delayed may arrive after its sender has crashed and another database has taken
-// the address: it must not put the sender back in its successor's place.
-void StateMachine::remember_predecessors(const protocol::Database& successor) {
-  for (const auto& [name, group] : state_.configuration.groups) {
-    for (const protocol::Database& database : group.databases) {
-      const bool replaced = database.endpoint == successor.endpoint && database.id != successor.id;
-      if (replaced && group.self_registered) {
-        remember_removal(database.id);
-      }
-    }
-  }
-}
-
 void StateMachine::remember_removal(const core::DatabaseId& database) {
   if (!state_.removed_databases.insert(database).second) {
     return;
--- a/src/configuration/state_machine.hpp
+++ b/src/configuration/state_machine.hpp
@@ -64,6 +64,9 @@
   /// Log index of the last applied command.
   [[nodiscard]] std::uint64_t applied_index() const { return state_.applied_index; }
 
+  /// What an operation of control itself would do now.
+  [[nodiscard]] Plan plan_now(const Operation& operation) const;
+
   /// What follows a revision: changes, or all of it when they are no longer kept or `revision` is unknown
   /// here.
   [[nodiscard]] protocol::FetchReply changes_after(protocol::Revision revision) const;
@@ -92,10 +95,8 @@
 
   [[nodiscard]] bool costs_more_than_a_snapshot(protocol::Revision revision) const;
   CommandResult execute(const Command& command);
-  void accept(const Command& command, const protocol::Change& change);
+  void accept(const Command& command, const Plan& planned);
   void remember_members(const CompletePrimaryChange& complete);
-  /// Before a registration is applied: the databases that it replaces have ended.
-  void remember_predecessors(const protocol::Database& successor);
   void remember_removal(const core::DatabaseId& database);
   void keep_change(const protocol::Change& change);
   void keep_answer(const core::RequestKey& key, std::uint64_t fingerprint, const CommandResult& result);
--- a/src/control/peer_channels.hpp
+++ b/src/control/peer_channels.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 
+#include "configuration/command.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
@@ -30,6 +31,9 @@
   boost::asio::awaitable<core::Result<protocol::OperatorReply>> forward(core::Endpoint peer,
                                                                         protocol::OperatorRequest request,
                                                                         core::Duration timeout);
+  /// Passes notices of databases on.
+  boost::asio::awaitable<core::Result<configuration::CommandResult>> forward_notices(
+      core::Endpoint peer, configuration::ChangeDatabases notices, core::Duration timeout);
   /// The revision that a peer has; fails when it can't be asked.
   boost::asio::awaitable<core::Result<protocol::Revision>> revision_of(core::Endpoint peer,
                                                                        core::Duration timeout);
--- a/src/protocol/configuration.hpp
+++ b/src/protocol/configuration.hpp
@@ -50,6 +50,8 @@
   /// Owners that share its connections; 0: kOwnersPerDatabase.
   std::uint32_t max_owners = 0;
 
+  bool operator==(const Database&) const = default;
+
   MSGPACK_DEFINE(id, endpoint, zone, connection_limit, slots, draining, departed, max_owners);
 };
 
--- a/tests/configuration/registry_test.cpp
+++ b/tests/configuration/registry_test.cpp
@@ -255,6 +255,61 @@
   EXPECT_FALSE(restored.apply(index_ + 1, Command{{}, 0, database("a", 9001)}).changed);
 }
 
+TEST_F(RegistryTest, ManyNoticesMakeOneRevision) {
+  apply(table(1));
+  apply(database("gone", 9500));
+  const protocol::Revision before = machine_.configuration().revision;
+  ChangeDatabases changes;
+  for (int number = 0; number < 400; ++number) {
+    changes.registrations.push_back(
+        database("i-" + std::to_string(number), static_cast<std::uint16_t>(10000 + number)));
+  }
+  changes.registrations[7].group = core::GroupName("frames");
+  changes.departures.push_back(DepartDatabase{core::DatabaseId("gone")});
+  const CommandResult result = apply(changes);
+  EXPECT_FALSE(result.error);
+  EXPECT_TRUE(result.refused.empty());
+  EXPECT_EQ(result.revision, before + 1);
+  EXPECT_EQ(plates().databases.size(), 400U);
+  EXPECT_TRUE(plates().databases[0].departed);
+  EXPECT_EQ(plates().databases[1].connection_limit, 30U) << "as if it had come alone";
+  EXPECT_EQ(machine_.configuration().groups.at(core::GroupName("frames")).databases.size(), 1U);
+  const protocol::FetchReply reply = machine_.changes_after(before);
+  ASSERT_TRUE(reply.snapshot || reply.changes.size() == 1);
+  EXPECT_FALSE(apply(changes).changed) << "resent";
+  EXPECT_EQ(machine_.configuration().revision, before + 1);
+}
+
+TEST_F(RegistryTest, ARefusedNoticeDoesNotHoldUpTheOthers) {
+  apply(table(1));
+  ChangeDatabases changes;
+  changes.registrations = {database("a", 9001), database("b", 0), database("c", 9003)};
+  const CommandResult result = apply(changes);
+  EXPECT_FALSE(result.error);
+  EXPECT_TRUE(result.changed);
+  ASSERT_EQ(result.refused.size(), 1U);
+  EXPECT_EQ(result.refused[0].database, core::DatabaseId("b"));
+  EXPECT_EQ(plates().databases.size(), 2U);
+}
+
+TEST_F(RegistryTest, NoticesOfOneRevisionArePlannedOneAfterTheOther) {
+  apply(table(1));
+  ChangeDatabases changes;
+  changes.registrations = {database("a", 9001), database("a2", 9001), database("a", 9001)};
+  changes.departures = {DepartDatabase{core::DatabaseId("a2")}};
+  EXPECT_TRUE(apply(changes).changed);
+  ASSERT_EQ(plates().databases.size(), 1U);
+  EXPECT_EQ(plates().databases[0].id, core::DatabaseId("a2")) << "the third is a late one of a predecessor";
+  EXPECT_TRUE(plates().databases[0].departed);
+  EXPECT_FALSE(apply(database("a", 9001)).changed) << "remembered as gone";
+}
+
+TEST_F(RegistryTest, ACommandHoldsABoundedNumberOfNotices) {
+  ChangeDatabases changes;
+  changes.departures.resize(kMaxDatabaseChanges + 1, DepartDatabase{core::DatabaseId("a")});
+  EXPECT_TRUE(apply(changes).error);
+}
+
 TEST_F(RegistryTest, GroupsOfOperatorsAreLeftAlone) {
   apply(PutZone{core::ZoneName("hall"), core::RegionName("kingston")});
   PutGroup declared{core::GroupName("plates"), {}, {}};
--- a/tests/control/operator_api_test.cpp
+++ b/tests/control/operator_api_test.cpp
@@ -25,6 +25,9 @@
           [this](const core::Endpoint&, protocol::OperatorRequest request, core::Duration) {
             return forward(std::move(request));
           },
+          [this](const core::Endpoint&, configuration::ChangeDatabases notices, core::Duration) {
+            return forward_notices(std::move(notices));
+          },
           [](std::string_view) -> core::Result<void> { return core::outcome::success(); });
     }
   }
@@ -35,6 +38,13 @@
     co_return reply;
   }
 
+  boost::asio::awaitable<core::Result<configuration::CommandResult>> forward_notices(
+      configuration::ChangeDatabases notices) {
+    ++forwarded_;
+    auto result = co_await apis_.at(leader_)->handle_notices(std::move(notices));
+    co_return result;
+  }
+
   protocol::OperatorReply heartbeat(const std::string& replica, bool draining = false) {
     const nlohmann::json body = {{"group", "plates"},
                                  {"endpoint", "127.0.0.1:9001"},
