Heartbeats of databases carry their start and sequence

Cause: a database may start again under its name; it holds nothing of before and its sequence starts anew. Control took draining and departure of the earlier start for the new one's, kept a fence of the earlier start, never let a removed database come back, and let a late heartbeat overwrite a newer one.

Change: `born` goes through the platform's call into protocol::Database and is replicated; `Seq` is compared only with what the replica itself has heard (bounded, in memory). A notice of an earlier start or an older sequence changes nothing. Without `born` all is as before. Heartbeats whose fields are missing or of another type are refused (400) before anything is proposed; an invalid name no longer costs an entry of the log.

Not covered: unknown states are taken for not draining, as before, for no list of states is at hand; unknown services create their group, as before, for databases register before the first table; a leave carries no start.

--- a/src/configuration/registry_plan.cpp
+++ b/src/configuration/registry_plan.cpp
@@ -152,9 +152,9 @@
 }
 
 /// The databases that had this one's endpoint: gone, for an address is used by one at a time.
-std::vector<core::DatabaseId> drop_predecessors(const Configuration& configuration, Change& change,
-                                                const Database& database) {
-  std::vector<core::DatabaseId> replaced;
+std::vector<EndedDatabase> drop_predecessors(const Configuration& configuration, Change& change,
+                                             const Database& database) {
+  std::vector<EndedDatabase> replaced;
   const auto clashes = [&](const Database& other) {
     return other.id != database.id && other.endpoint == database.endpoint;
   };
@@ -165,7 +165,7 @@
     const std::size_t before = replaced.size();
     for (const Database& other : group.databases) {
       if (clashes(other)) {
-        replaced.push_back(other.id);
+        replaced.push_back(EndedDatabase{other.id, other.born});
       }
     }
     if (replaced.size() > before) {
@@ -187,6 +187,16 @@
   return nullptr;
 }
 
+/// True for a late message of a database that has ended, and not of a later start under its name.
+bool has_ended(const PlanContext& context, const Database& told) {
+  if (context.removed_databases == nullptr || !context.removed_databases->contains(told.id)) {
+    return false;
+  }
+  const std::uint64_t* born =
+      context.removed_births == nullptr ? nullptr : find(*context.removed_births, told.id);
+  return born == nullptr || protocol::compare_lives(told.born, *born) != protocol::Life::kLater;
+}
+
 /// Plans several changes of databases, each against what those before it leave, as one change.
 class DatabasePlans {
  public:
@@ -196,11 +206,14 @@
     if (context.removed_databases != nullptr) {
       removed_ = *context.removed_databases;
     }
+    if (context.removed_births != nullptr) {
+      births_ = *context.removed_births;
+    }
   }
 
   template <typename DatabaseOperation>
   void add(const core::DatabaseId& database, const DatabaseOperation& operation) {
-    const PlanContext context{working_, 0, {}, &removed_};
+    const PlanContext context{working_, 0, {}, &removed_, &births_};
     Plan plan = plan_one(context, operation);
     if (plan.error) {
       planned_.refused.push_back(RefusedDatabase{database, std::move(*plan.error)});
@@ -227,13 +240,17 @@
       changed_.insert(group.name);
       working_.groups[group.name] = std::move(group);
     }
-    removed_.insert(plan.replaced.begin(), plan.replaced.end());
+    for (const EndedDatabase& ended : plan.replaced) {
+      removed_.insert(ended.database);
+      births_[ended.database] = ended.born;
+    }
     std::move(plan.replaced.begin(), plan.replaced.end(), std::back_inserter(planned_.replaced));
   }
 
   const PlanContext& context_;
   Configuration working_;  ///< Only what plans of databases look at: the revision and the groups.
   Members removed_;
+  Births births_;
   std::set<core::GroupName> changed_;
   Plan planned_;
 };
@@ -276,8 +293,8 @@
     return refused(core::ErrorKind::kInvalidArgument, "Database " + told.id.value() + " has no endpoint.",
                    "Give its endpoint as address:port.");
   }
-  if (context.removed_databases != nullptr && context.removed_databases->contains(told.id)) {
-    return unchanged(context.configuration.revision);  // A late message of a database that has ended.
+  if (has_ended(context, told)) {
+    return unchanged(context.configuration.revision);
   }
   if (auto refusal = declared_by_operators(context.configuration, registration.group)) {
     return *refusal;
@@ -289,11 +306,18 @@
   next.departed = false;
   set_connection_limit(next, group.connection_limit);
   if (known != group.databases.end()) {
-    next.draining = told.draining || known->draining;
-    next.departed = known->departed;
-    const bool same = next.endpoint == known->endpoint && next.zone == known->zone &&
-                      next.slots == known->slots && next.draining == known->draining &&
-                      next.connection_limit == known->connection_limit;
+    const protocol::Life life = protocol::compare_lives(told.born, known->born);
+    if (life == protocol::Life::kEarlier) {
+      return unchanged(context.configuration.revision);
+    }
+    next.born = std::max(told.born, known->born);
+    if (life == protocol::Life::kSame) {
+      next.draining = told.draining || known->draining;
+      next.departed = known->departed;
+    }
+    const bool same = next.born == known->born && next.endpoint == known->endpoint &&
+                      next.zone == known->zone && next.slots == known->slots &&
+                      next.draining == known->draining && next.connection_limit == known->connection_limit;
     if (same) {
       return unchanged(context.configuration.revision);
     }
--- a/src/configuration/state_machine.cpp
+++ b/src/configuration/state_machine.cpp
@@ -61,7 +61,8 @@
 
 CommandResult StateMachine::execute(const Command& command) {
   const PlanContext context{state_.configuration, command.expected_revision,
-                            promoted_members_for(command.operation), &state_.removed_databases};
+                            promoted_members_for(command.operation), &state_.removed_databases,
+                            &state_.removed_births};
   const Plan planned = plan(context, command.operation);
   CommandResult result;
   result.error = planned.error;
@@ -82,24 +83,25 @@
 
 Plan StateMachine::plan_now(const Operation& operation) const {
   const PlanContext context{state_.configuration, 0, promoted_members_for(operation),
-                            &state_.removed_databases};
+                            &state_.removed_databases, &state_.removed_births};
   return plan(context, operation);
 }
 
 void StateMachine::accept(const Command& command, const Plan& planned) {
   // A heartbeat that a cut has delayed may arrive after its sender has crashed and another database has taken
   // the address: it must not put the sender back in its successor's place.
-  for (const core::DatabaseId& replaced : planned.replaced) {
+  for (const EndedDatabase& replaced : planned.replaced) {
     remember_removal(replaced);
   }
+  if (const auto* removal = std::get_if<RemoveDatabase>(&command.operation)) {
+    remember_removal(EndedDatabase{removal->database, birth_of(removal->database)});
+  }
   protocol::apply(state_.configuration, *planned.change);
   keep_change(*planned.change);
   if (const auto* complete = std::get_if<CompletePrimaryChange>(&command.operation)) {
     remember_members(*complete);
   } else if (const auto* put = std::get_if<PutRouteTable>(&command.operation)) {
     state_.route_document = put->document;
-  } else if (const auto* removal = std::get_if<RemoveDatabase>(&command.operation)) {
-    remember_removal(removal->database);
   }
 }
 
@@ -111,17 +113,33 @@
   state_.promoted_members[complete.group] = std::move(members);
 }
 
-void StateMachine::remember_removal(const core::DatabaseId& database) {
-  if (!state_.removed_databases.insert(database).second) {
+void StateMachine::remember_removal(const EndedDatabase& ended) {
+  const bool is_new = state_.removed_databases.insert(ended.database).second;
+  if (ended.born != 0) {
+    state_.removed_births[ended.database] = ended.born;
+  }
+  if (!is_new) {
     return;
   }
-  state_.removal_order.push_back(database);
+  state_.removal_order.push_back(ended.database);
   while (state_.removal_order.size() > limits_.removed_databases) {
     state_.removed_databases.erase(state_.removal_order.front());
+    state_.removed_births.erase(state_.removal_order.front());
     state_.removal_order.pop_front();
   }
 }
 
+std::uint64_t StateMachine::birth_of(const core::DatabaseId& database) const {
+  for (const auto& [name, group] : state_.configuration.groups) {
+    for (const protocol::Database& one : group.databases) {
+      if (one.id == database) {
+        return one.born;
+      }
+    }
+  }
+  return 0;
+}
+
 void StateMachine::keep_change(const Change& change) {
   const std::size_t bytes = wire::pack(change).size();
   state_.changes.push_back(KeptChange{change, bytes});
--- a/src/configuration/state_machine.hpp
+++ b/src/configuration/state_machine.hpp
@@ -88,16 +88,18 @@
     std::string route_document;  ///< The route table in force as its author wrote it.
     Members removed_databases;
     std::deque<core::DatabaseId> removal_order;  ///< Oldest first.
+    Births removed_births;                       ///< Of those of `removed_databases` that have told it.
 
     MSGPACK_DEFINE(applied_index, configuration, changes, change_bytes, answers, answer_order,
-                   promoted_members, route_document, removed_databases, removal_order);
+                   promoted_members, route_document, removed_databases, removal_order, removed_births);
   };
 
   [[nodiscard]] bool costs_more_than_a_snapshot(protocol::Revision revision) const;
   CommandResult execute(const Command& command);
   void accept(const Command& command, const Plan& planned);
   void remember_members(const CompletePrimaryChange& complete);
-  void remember_removal(const core::DatabaseId& database);
+  void remember_removal(const EndedDatabase& ended);
+  [[nodiscard]] std::uint64_t birth_of(const core::DatabaseId& database) const;
   void keep_change(const protocol::Change& change);
   void keep_answer(const core::RequestKey& key, std::uint64_t fingerprint, const CommandResult& result);
   [[nodiscard]] Members promoted_members_for(const Operation& operation) const;
--- a/src/control/database_notice_api.cpp
+++ b/src/control/database_notice_api.cpp
@@ -1,5 +1,6 @@
 #include "control/database_notice_api.hpp"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -41,6 +42,9 @@
          kind == core::ErrorKind::kConnectionRefused;
 }
 
+/// Databases whose last heartbeat is remembered: several times those of the largest fleet measured.
+constexpr std::size_t kMaxHeard = 8192;
+
 /// Null for commands that are no notices.
 std::optional<DatabaseNotice> notice_in(const configuration::Operation& operation) {
   if (const auto* registration = std::get_if<configuration::RegisterDatabase>(&operation)) {
@@ -65,17 +69,22 @@
       notices_(io, [this](ChangeDatabases notices) { return propose(std::move(notices)); }) {}
 
 awaitable<OperatorReply> DatabaseNoticeApi::handle(OperatorRequest request) {
-  const auto command = parse_database_notice(request.path.substr(kDatabasesPath.size()), request.body);
-  if (!command) {
-    co_return error_reply(command.error());
+  const auto notice = parse_database_notice(request.path.substr(kDatabasesPath.size()), request.body);
+  if (!notice) {
+    co_return error_reply(notice.error());
+  }
+  const configuration::Plan planned = replica_.machine().plan_now(notice.value().operation);
+  if (planned.error && planned.error->kind == core::ErrorKind::kInvalidArgument) {
+    co_return error_reply(*planned.error);  // Whatever the leader knows: not worth an entry of the log.
   }
-  if (known(command.value().operation)) {
+  const bool tells_nothing_new = !planned.error && !planned.change;
+  if (overtaken(notice.value()) || tells_nothing_new) {
     co_return accepted();
   }
   if (without_leader_for_long()) {
     co_return error_reply(no_leader());
   }
-  const auto taken = co_await notices_.take(notice_in(command.value().operation).value(), kNoticeAnswerLimit);
+  const auto taken = co_await notices_.take(notice_in(notice.value().operation).value(), kNoticeAnswerLimit);
   if (!taken) {
     co_return error_reply(taken.error());
   }
@@ -90,6 +99,25 @@
   co_return result;
 }
 
+/// Sequences are compared with what came here only: in the log, each heartbeat would be an entry.
+bool DatabaseNoticeApi::overtaken(const ReceivedNotice& notice) {
+  const auto* told = std::get_if<configuration::RegisterDatabase>(&notice.operation);
+  if (told == nullptr || notice.sequence == 0) {
+    return false;
+  }
+  if (heard_.size() >= kMaxHeard && !heard_.contains(told->database.id)) {
+    heard_.clear();  // Names that came once and never again; the others are heard again within seconds.
+  }
+  Heard& heard = heard_[told->database.id];
+  const protocol::Life life = protocol::compare_lives(told->database.born, heard.born);
+  const bool older = life == protocol::Life::kSame && notice.sequence < heard.sequence;
+  if (life == protocol::Life::kEarlier || older) {
+    return true;
+  }
+  heard = Heard{std::max(told->database.born, heard.born), notice.sequence};
+  return false;
+}
+
 /// Most notices tell what every replica knows already: no need to ask the leader.
 bool DatabaseNoticeApi::known(const configuration::Operation& operation) const {
   const configuration::Plan planned = replica_.machine().plan_now(operation);
--- a/src/control/database_notice_api.hpp
+++ b/src/control/database_notice_api.hpp
@@ -5,12 +5,15 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 
 #include "configuration/command.hpp"
 #include "control/database_notices.hpp"
 #include "control/replica.hpp"
+#include "control/route_json.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
@@ -38,6 +41,14 @@
  private:
   using Outcome = core::Result<configuration::CommandResult>;
 
+  /// The newest heartbeat that came here from a database.
+  struct Heard {
+    std::uint64_t born = 0;
+    std::uint64_t sequence = 0;
+  };
+
+  /// True when a newer heartbeat of the same database came here before; else this one is noted.
+  bool overtaken(const ReceivedNotice& notice);
   [[nodiscard]] bool known(const configuration::Operation& operation) const;
   [[nodiscard]] protocol::OperatorReply accepted() const;
   [[nodiscard]] std::optional<core::Endpoint> other_leader() const;
@@ -52,6 +63,7 @@
   Replica& replica_;
   ForwardNotices forward_;
   std::optional<core::Instant> without_leader_since_;
+  std::map<core::DatabaseId, Heard> heard_;  ///< Bounded to kMaxHeard.
   DatabaseNotices notices_;
 };
 
--- a/src/control/database_notices.cpp
+++ b/src/control/database_notices.cpp
@@ -1,5 +1,6 @@
 #include "control/database_notices.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -35,7 +36,7 @@
 }
 
 /// What is to be proposed when `later` comes while `earlier` waits: a database that has left does not come
-/// back, and draining is never taken back.
+/// back, draining is never taken back, and what comes late of an earlier start counts for nothing.
 DatabaseNotice merged(const DatabaseNotice& earlier, DatabaseNotice later) {
   const auto* before = std::get_if<RegisterDatabase>(&earlier);
   auto* after = std::get_if<RegisterDatabase>(&later);
@@ -45,7 +46,14 @@
   if (before == nullptr) {
     return earlier;
   }
-  after->database.draining = after->database.draining || before->database.draining;
+  const protocol::Life life = protocol::compare_lives(after->database.born, before->database.born);
+  if (life == protocol::Life::kEarlier) {
+    return earlier;
+  }
+  if (life == protocol::Life::kSame) {
+    after->database.draining = after->database.draining || before->database.draining;
+    after->database.born = std::max(after->database.born, before->database.born);
+  }
   return later;
 }
 
--- a/tests/configuration/registry_test.cpp
+++ b/tests/configuration/registry_test.cpp
@@ -233,6 +233,62 @@
   EXPECT_TRUE(plates().databases.empty());
 }
 
+RegisterDatabase born_at(RegisterDatabase registration, std::uint64_t born) {
+  registration.database.born = born;
+  return registration;
+}
+
+TEST_F(RegistryTest, ANewStartMakesDrainingAndDepartureVoid) {
+  apply(table(1));
+  apply(born_at(database("a", 9001, true), 1000));
+  apply(DepartDatabase{core::DatabaseId("a")});
+  EXPECT_TRUE(apply(born_at(database("a", 9001), 2000)).changed);
+  EXPECT_FALSE(plates().databases[0].draining);
+  EXPECT_FALSE(plates().databases[0].departed);
+  EXPECT_EQ(plates().databases[0].born, 2000U);
+}
+
+TEST_F(RegistryTest, AHeartbeatOfAnEarlierStartChangesNothing) {
+  apply(table(1));
+  apply(born_at(database("a", 9001), 2000));
+  EXPECT_FALSE(apply(born_at(database("a", 9002, true), 1000)).changed);
+  EXPECT_EQ(plates().databases[0].endpoint.port, 9001);
+  EXPECT_FALSE(apply(born_at(database("a", 9001), 2000)).changed) << "resent";
+}
+
+TEST_F(RegistryTest, ADatabaseThatWasRemovedComesBackOnlyWithANewStart) {
+  apply(table(1));
+  apply(born_at(database("a", 9001), 1000));
+  apply(DepartDatabase{core::DatabaseId("a")});
+  apply(RemoveDatabase{core::DatabaseId("a")});
+  StateMachine restored;
+  ASSERT_TRUE(restored.restore(machine_.snapshot()).has_value());
+  for (StateMachine* machine : {&machine_, &restored}) {
+    std::uint64_t index = index_;
+    EXPECT_FALSE(machine->apply(++index, Command{{}, 0, born_at(database("a", 9001), 1000)}).changed);
+    EXPECT_FALSE(machine->apply(++index, Command{{}, 0, database("a", 9001)}).changed);
+    EXPECT_TRUE(machine->apply(++index, Command{{}, 0, born_at(database("a", 9001), 2000)}).changed);
+  }
+}
+
+TEST_F(RegistryTest, OneReplacedAtItsAddressComesBackOnlyWithANewStart) {
+  apply(table(1));
+  apply(born_at(database("a", 9001), 1000));
+  apply(born_at(database("b", 9001), 1500));
+  EXPECT_FALSE(apply(born_at(database("a", 9001), 1000)).changed);
+  EXPECT_TRUE(apply(born_at(database("a", 9002), 2000)).changed);
+  EXPECT_EQ(plates().databases.size(), 2U);
+}
+
+TEST_F(RegistryTest, AnUntoldStartIsTakenForTheSame) {
+  apply(table(1));
+  apply(database("a", 9001, true));
+  apply(born_at(database("a", 9001), 1000));
+  EXPECT_TRUE(plates().databases[0].draining);
+  EXPECT_FALSE(apply(database("a", 9001)).changed);
+  EXPECT_EQ(plates().databases[0].born, 1000U);
+}
+
 TEST_F(RegistryTest, APrimaryIsAdoptedOnce) {
   apply(table(1));
   apply(database("a", 9001));
