--- a/src/pooling/caller_session_search.cpp
+++ b/src/pooling/caller_session_search.cpp
@@ -227,9 +227,6 @@
     statement.after = need.after;
     search.after = need.after;
   }
-  if (statement.after) {
-    choice.pool->reach().note_tried(sent, *statement.after);
-  }
   TraceStep sending = step_at(choice, TraceEvent::kSent, choice.is_primary ? "primary" : "replica");
   sending.after = statement.after;
   search.trace.add(sent, std::move(sending));
--- a/src/pooling/forward_service.cpp
+++ b/src/pooling/forward_service.cpp
@@ -46,34 +46,13 @@
   return std::chrono::milliseconds(millis);
 }
 
-OwnerLoad load_of(const BackendPool& pool, core::Instant now) {
+OwnerLoad load_of(const BackendPool& pool) {
   OwnerLoad load;
-  load.lacking = pool.reach().to_tell(now);
   load.wait_ms = static_cast<std::uint32_t>(core::to_millis(pool.expected_wait()));
   load.waiting = static_cast<std::uint32_t>(pool.waiting());
   return load;
 }
 
-/// The answer to a read that the database would surely refuse, for it, or a read that needed less, was
-/// refused a moment ago: without a slot of the database.
-ForwardedAnswer behind(const BackendPool& pool, core::Instant now) {
-  ForwardedAnswer answer;
-  answer.reply.failure =
-      Failure{FailureCode::kBehind, "The log was found to lack the position a moment ago."};
-  answer.load = load_of(pool, now);
-  return answer;
-}
-
-/// What a read shows of the replica's log, to this daemon and to those that ask it.
-void note_reach(BackendPool& pool, const StatementReply& reply, const core::LogPosition& after,
-                core::Instant now) {
-  if (!reply.failure) {
-    pool.reach().note_reached(after);
-  } else if (reply.failure->code == FailureCode::kBehind) {
-    pool.reach().note_lacking(now, after);
-  }
-}
-
 /// `asked` outlives the request. Not part of a coroutine: GCC 12 destroys a temporary of such an initializer
 /// twice.
 ConnectionRequest connection_request(const ForwardedStatement& asked, core::Instant begun) {
@@ -168,14 +147,6 @@
   if (!pool) {
     co_return not_run("The database is not known here.");
   }
-  // A new primary has what it needs, whatever it lacked as a replica.
-  const bool is_primary = backends_.is_primary(pool->address().group, asked.database);
-  if (asked.after && !is_primary && !pool->reach().may_reach(begun, *asked.after)) {
-    co_return wire::pack(behind(*pool, begun));
-  }
-  if (asked.after) {
-    pool->reach().note_tried(begun, *asked.after);
-  }
   const ConnectionRequest request = connection_request(asked, begun);
   auto lease = co_await BackendPool::acquire(pool, request);
   if (!lease) {
@@ -203,9 +174,6 @@
     const core::GroupName& group = held->choice->pool->address().group;
     backends_.note_position(group, *held->choice, sent, held->rested_since, *ran.value().position);
   }
-  if (ran && asked.after && held->choice) {
-    note_reach(*held->choice->pool, ran.value(), *asked.after, held->rested_since);
-  }
   const bool open = ran && ran.value().state != TransactionState::kIdle;
   // When whoever asked is gone, nobody would end the transaction.
   const bool wanted = !held->given_up && peers_.contains(held->peer);
@@ -225,7 +193,7 @@
   }
   answer.reply = std::move(ran.value());
   if (held->choice) {
-    answer.load = load_of(*held->choice->pool, core::BootClock::now());
+    answer.load = load_of(*held->choice->pool);
   }
   co_return wire::pack(answer);
 }
--- a/src/pooling/owner_load.hpp
+++ b/src/pooling/owner_load.hpp
@@ -3,9 +3,6 @@
 
 #include <cstdint>
 #include <msgpack.hpp>
-#include <optional>
-
-#include "pooling/replica_reach.hpp"
 
 namespace pipitpond::pooling {
 
@@ -16,10 +13,7 @@
   std::uint32_t wait_ms = 0;
   std::uint32_t waiting = 0;  ///< Statements that wait for a connection or for their turn.
 
-  /// What the database's log was lately found to lack, by reads of all daemons that ask this owner.
-  std::optional<ToldLacking> lacking;
-
-  MSGPACK_DEFINE(wait_ms, waiting, lacking);
+  MSGPACK_DEFINE(wait_ms, waiting);
 };
 
 }  // namespace pipitpond::pooling
--- a/src/pooling/statement_forwarder.cpp
+++ b/src/pooling/statement_forwarder.cpp
@@ -162,13 +162,7 @@
     if (!answer) {
       co_return core::fail(core::ErrorKind::kConnectionLost, answer.error().message, answer.error().remedy);
     }
-    const std::optional<Failure>& failure = answer.value().reply.failure;
-    if (!failure || failure->code != FailureCode::kBehind) {
-      pool_->note_latency(now - sent);  // An owner refuses a read without asking the database.
-    }
-    if (answer.value().load.lacking) {
-      pool_->reach().note_told(now, sent, *answer.value().load.lacking);
-    }
+    pool_->note_latency(now - sent);
     transaction_ = answer.value().transaction;
     co_return std::move(answer.value().reply);
   }
--- a/tests/pooling/statement_forward_test.cpp
+++ b/tests/pooling/statement_forward_test.cpp
@@ -188,52 +188,6 @@
   EXPECT_EQ(ran().size(), 2U);
 }
 
-TEST_F(StatementForwardTest, WhatAnOwnerFoundAReplicaToLackKeepsOtherDaemonsAway) {
-  CallerSession writer(asking_.services, "writes");
-  ASSERT_FALSE(run(writer, example_statement(StatementKind::kWrite, "thing data")).failure);
-  const core::LogPosition written = owner_.connector.database("a").position;
-  const std::shared_ptr<BackendPool> at_owner = owner_.backends.pool(core::DatabaseId("b"));
-  const std::shared_ptr<BackendPool> at_asker = asking_.backends.pool(core::DatabaseId("b"));
-  at_owner->reach().note_lacking(core::BootClock::now(), written);
-  const ConnectionRequest request{1, core::BootClock::now() + milliseconds(500), nullptr};
-  auto lease =
-      pipitpond::testing::run(io_, asking_.backends.acquire(BackendChoice{at_asker, false, 1}, request));
-  ASSERT_TRUE(lease);
-  const SessionState session;
-  const BackendStatement read{example_statement(StatementKind::kRead), written};
-  const auto ran = pipitpond::testing::run(io_, lease.value()->run(session, read, milliseconds(500)));
-  ASSERT_TRUE(ran);
-  ASSERT_TRUE(ran.value().failure);
-  EXPECT_EQ(ran.value().failure->code, FailureCode::kBehind);
-  EXPECT_EQ(owner_.connector.database("b").connections_opened, 0) << "the database was not asked";
-  EXPECT_FALSE(at_asker->reach().may_reach(core::BootClock::now(), written));
-  EXPECT_TRUE(at_asker->reach().may_reach(core::BootClock::now(), {1, 1}));
-}
-
-TEST_F(StatementForwardTest, ANewPrimaryIsNotHeldToWhatItLackedAsAReplica) {
-  const std::shared_ptr<BackendPool> at_owner = owner_.backends.pool(core::DatabaseId("a"));
-  at_owner->reach().note_lacking(core::BootClock::now(), {1, 10});
-  const auto choice = asking_.backends.as_chosen(core::DatabaseId("a"));
-  const ConnectionRequest request{1, core::BootClock::now() + milliseconds(500), nullptr};
-  auto lease = pipitpond::testing::run(io_, asking_.backends.acquire(*choice, request));
-  ASSERT_TRUE(lease);
-  const SessionState session;
-  const BackendStatement read{example_statement(StatementKind::kRead), core::LogPosition{1, 10}};
-  const auto ran = pipitpond::testing::run(io_, lease.value()->run(session, read, milliseconds(500)));
-  ASSERT_TRUE(ran);
-  EXPECT_FALSE(ran.value().failure);
-}
-
-TEST_F(StatementForwardTest, ADatabaseAtAnotherEndpointIsHeldToNothing) {
-  const core::DatabaseId replica("b");
-  asking_.backends.pool(replica)->reach().note_lacking(core::BootClock::now(), {1, 10});
-  for (protocol::Database& database : configuration_.groups.begin()->second.databases) {
-    database.endpoint.port += 100;
-  }
-  asking_.apply(configuration_);
-  EXPECT_TRUE(asking_.backends.pool(replica)->reach().may_reach(core::BootClock::now(), {1, 10}));
-}
-
 TEST_F(StatementForwardTest, NoReplicaIsAskedWithAPositionThatIsTooOldAfterTheLongestWait) {
   // At an owner the statement may wait for 180 ms: what covers 1,500 ms of staleness now does not cover it
   // then, and a replica's answer without a position would prove nothing.
