--- a/src/pooling/forward_messages.hpp
+++ b/src/pooling/forward_messages.hpp
@@ -8,7 +8,6 @@
 
 #include "core/ids.hpp"
 #include "core/log_position.hpp"
-#include "pooling/owner_load.hpp"
 #include "pooling/session_state.hpp"
 #include "pooling/statement.hpp"
 
@@ -40,9 +39,8 @@
 struct ForwardedAnswer {
   StatementReply reply;
   ForwardedTransaction transaction = 0;  ///< The one that is open now; 0: none.
-  OwnerLoad load;                        ///< Of the owner's line for the database.
 
-  MSGPACK_DEFINE(reply, transaction, load);
+  MSGPACK_DEFINE(reply, transaction);
 };
 
 /// Asks an owner for a database's status, asked for after this message arrived. Answered with a
--- a/src/pooling/forward_service.cpp
+++ b/src/pooling/forward_service.cpp
@@ -46,13 +46,6 @@
   return std::chrono::milliseconds(millis);
 }
 
-OwnerLoad load_of(const BackendPool& pool) {
-  OwnerLoad load;
-  load.wait_ms = static_cast<std::uint32_t>(core::to_millis(pool.expected_wait()));
-  load.waiting = static_cast<std::uint32_t>(pool.waiting());
-  return load;
-}
-
 /// `asked` outlives the request. Not part of a coroutine: GCC 12 destroys a temporary of such an initializer
 /// twice.
 ConnectionRequest connection_request(const ForwardedStatement& asked, core::Instant begun) {
@@ -192,9 +185,6 @@
     transactions_[answer.transaction] = held;
   }
   answer.reply = std::move(ran.value());
-  if (held->choice) {
-    answer.load = load_of(*held->choice->pool);
-  }
   co_return wire::pack(answer);
 }
 
