--- a/src/tenancy/quota_home.hpp
+++ b/src/tenancy/quota_home.hpp
@@ -3,31 +3,28 @@
 // The promise: in every window, all daemons together let no more than
 // (rate x window + burst) x (1 + excess) + slack operations of a tenant run, whatever is cut off, frozen or
 // lost.
+//
 // - Each operation needs a token of one of the tenant's homes, asked for after the operation came. So those
 //   that come and run within a window took their tokens within it.
 // - With permitted = rate x window + burst and extra = permitted x excess + slack, the buckets of all homes
 //   together fill with rate + burst / window and hold kHeldPart of extra. A bucket gives at most what it
-//   holds plus what flows in, so that any window sees at most kHeldPart x extra + (rate + burst / window) x
-//   window = kHeldPart x extra + permitted.
+//   holds plus what flows in: any window sees at most kHeldPart x extra + permitted.
 // - A bucket begins empty, but for a part of the rest of extra: whoever was home before, here or elsewhere,
-// may
-//   have given all that it held. kBeginningsInWindow beginnings within a window add all of that rest.
+//   may have given all that it held. kBeginningsInWindow beginnings within a window add all of that rest.
 // - Where kHeldPart of extra is less than one operation for each home, buckets are those that quotas
-// describe:
-//   they fill with rate and hold burst, at least 1.
-// For a tenant that asks for more than its limit this gives rate + burst / window instead of rate, and one
-// that asks for less finds more in each of the homes when its quota is small: a rate of 5, a burst of 5 and
-// three homes make 4.6 operations instead of 1.7. A tenant with a great burst that comes after a rest gets
-// less of it at once, and the rest within the window.
+//   describe: they fill with rate and hold burst, at least 1.
 // - An operation that surely did not run is given back by its token's number. The bucket then stands as if
-// the
-//   token had never been taken (see QuotaBucket), so that the bounds above hold for those that did run. What
-//   comes later than kGiveBackTime, twice, or to another life of the home changes nothing.
+//   the token had never been taken (see QuotaBucket), so that the bounds above hold for those that did run.
+//   What comes later than kGiveBackTime, twice, or to another life of the home changes nothing.
 // - A home gives nothing unless it has proved within kHomeProofAge that its configuration is complete. A
 //   daemon that joins and so takes tenants over gives nothing for as long: whoever had them has learnt of it
 //   by then, or has stopped. A silent daemon is removed later than that (after its lease and the databases'
-//   rest limit), and one that leaves stops by itself before, so that those who take over from them need not
-//   wait.
+//   rest limit), and one that leaves stops by itself before: those who take over from them need not wait.
+//
+// What it gains: a tenant that asks for more than its limit gets rate + burst / window instead of rate, and
+// one that asks for less finds more in each of its homes when its quota is small: a rate of 5, a burst of 5
+// and three homes hold 4.6 operations instead of 1.7 each. A tenant with a great burst that comes after a
+// rest gets less of it at once, and the rest within the window.
 #pragma once
 
 #include <array>
@@ -58,8 +55,8 @@
 /// daemon is removed.
 inline constexpr core::Duration kHomeProofAge = std::chrono::milliseconds(3000);
 /// Times within one window that all homes of a tenant may begin anew with their part of what quotas may be
-/// exceeded by. Each
-/// takes a start of processes or a change of daemons; that six in 5 s are more than a fleet sees is a guess.
+/// exceeded by. Each takes a start of processes or a change of daemons; that six in 5 s are more than a fleet
+/// sees is a guess.
 inline constexpr int kBeginningsInWindow = 6;
 
 /// Part of what quotas may be exceeded by that buckets hold; the rest is for beginnings. The more they hold,
