--- a/src/configuration/command.hpp
+++ b/src/configuration/command.hpp
@@ -148,8 +148,6 @@
   core::GroupName group;
   protocol::Database database;
 
-  bool operator==(const RegisterDatabase&) const = default;
-
   MSGPACK_DEFINE(group, database);
 };
 
@@ -157,8 +155,6 @@
 struct DepartDatabase {
   core::DatabaseId database;
 
-  bool operator==(const DepartDatabase&) const = default;
-
   MSGPACK_DEFINE(database);
 };
 
@@ -178,24 +174,11 @@
   MSGPACK_DEFINE(group, term, primary);
 };
 
-/// Registrations and departures of several databases as one revision: first the registrations, then the
-/// departures, each planned after those before it. One that is refused leaves the others in force.
-struct ChangeDatabases {
-  std::vector<RegisterDatabase> registrations;
-  std::vector<DepartDatabase> departures;
-
-  MSGPACK_DEFINE(registrations, departures);
-};
-
-/// Registrations and departures that one command holds at most.
-inline constexpr std::size_t kMaxDatabaseChanges = 1000;
-
 /// Every operation. The order is part of the format on disk: append only.
-using Operation =
-    std::variant<PutZone, PutPolicy, PutGroup, AdmitDaemon, SetDaemonState, RemoveDaemon, SetDatabaseDraining,
-                 BeginPrimaryChange, CompletePrimaryChange, RecordControl, SetControlLeaving, RemoveControl,
-                 ChangeDaemons, PutRouteTable, RegisterDatabase, DepartDatabase, RemoveDatabase, AdoptPrimary,
-                 ChangeDatabases>;
+using Operation = std::variant<PutZone, PutPolicy, PutGroup, AdmitDaemon, SetDaemonState, RemoveDaemon,
+                               SetDatabaseDraining, BeginPrimaryChange, CompletePrimaryChange, RecordControl,
+                               SetControlLeaving, RemoveControl, ChangeDaemons, PutRouteTable,
+                               RegisterDatabase, DepartDatabase, RemoveDatabase, AdoptPrimary>;
 
 /// One entry of the log.
 struct Command {
@@ -240,14 +223,6 @@
   }
 };
 
-/// A part of ChangeDatabases that was refused.
-struct RefusedDatabase {
-  core::DatabaseId database;
-  core::Error error;
-
-  MSGPACK_DEFINE(database, error);
-};
-
 /// What a command did: the answer that a resent key gets again.
 struct CommandResult {
   std::optional<core::Error> error;  ///< Empty: accepted.
@@ -255,11 +230,10 @@
   protocol::Revision revision = 0;
   /// Conflicts: revision of the thing as it stands.
   protocol::Revision current_revision = 0;
-  bool changed = false;                  ///< It made a new revision.
-  bool replayed = false;                 ///< This is the answer that the key got the first time.
-  std::vector<RefusedDatabase> refused;  ///< Of ChangeDatabases; what is not named here was accepted.
+  bool changed = false;   ///< It made a new revision.
+  bool replayed = false;  ///< This is the answer that the key got the first time.
 
-  MSGPACK_DEFINE(error, revision, current_revision, changed, replayed, refused);
+  MSGPACK_DEFINE(error, revision, current_revision, changed, replayed);
 };
 
 }  // namespace pipitpond::configuration
--- a/src/configuration/plan.hpp
+++ b/src/configuration/plan.hpp
@@ -1,10 +1,8 @@
 // Works out what one operation does to a configuration, without doing it. No I/O; same input, same plan.
 #pragma once
 
-#include <map>
 #include <optional>
 #include <set>
-#include <vector>
 
 #include "configuration/command.hpp"
 #include "core/error.hpp"
@@ -16,23 +14,11 @@
 /// change.
 using Members = std::set<core::DatabaseId>;
 
-/// When databases were started; 0: not told.
-using Births = std::map<core::DatabaseId, std::uint64_t>;
-
-/// A database that is gone.
-struct EndedDatabase {
-  core::DatabaseId database;
-  std::uint64_t born = 0;  ///< 0: not told.
-};
-
 /// Outcome of an operation. Neither error nor change: the configuration already is as asked.
 struct Plan {
   std::optional<core::Error> error;
   protocol::Revision current_revision = 0;  ///< Of the thing that the operation is about; 0: none.
   std::optional<protocol::Change> change;
-  /// Databases that self-registered ones have replaced at their endpoints, in order.
-  std::vector<EndedDatabase> replaced = {};
-  std::vector<RefusedDatabase> refused = {};  ///< Of ChangeDatabases.
 };
 
 /// State that a plan is made against.
@@ -43,8 +29,6 @@
   Members promoted_members;
   /// Databases that have registered by themselves, ended, and been removed; null: none.
   const Members* removed_databases = nullptr;
-  /// Of those removed databases that have told it; null: none.
-  const Births* removed_births = nullptr;
 };
 
 /// Plans any operation.
--- a/src/configuration/registry_plan.cpp
+++ b/src/configuration/registry_plan.cpp
@@ -1,7 +1,6 @@
 #include "configuration/registry_plan.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
 #include <set>
 #include <string>
@@ -152,27 +151,18 @@
 }
 
 /// The databases that had this one's endpoint: gone, for an address is used by one at a time.
-std::vector<EndedDatabase> drop_predecessors(const Configuration& configuration, Change& change,
-                                             const Database& database) {
-  std::vector<EndedDatabase> replaced;
-  const auto clashes = [&](const Database& other) {
-    return other.id != database.id && other.endpoint == database.endpoint;
-  };
+void drop_predecessors(const Configuration& configuration, Change& change, const Database& database) {
   for (const auto& [name, group] : configuration.groups) {
-    if (!group.self_registered) {
-      continue;
-    }
-    const std::size_t before = replaced.size();
-    for (const Database& other : group.databases) {
-      if (clashes(other)) {
-        replaced.push_back(EndedDatabase{other.id, other.born});
-      }
-    }
-    if (replaced.size() > before) {
-      std::erase_if(changed_group(configuration, change, name)->databases, clashes);
+    const bool clashes =
+        std::any_of(group.databases.begin(), group.databases.end(), [&](const Database& other) {
+          return other.id != database.id && other.endpoint == database.endpoint;
+        });
+    if (clashes && group.self_registered) {
+      std::erase_if(changed_group(configuration, change, name)->databases, [&](const Database& other) {
+        return other.id != database.id && other.endpoint == database.endpoint;
+      });
     }
   }
-  return replaced;
 }
 
 /// The group that has the database, or null.
@@ -187,74 +177,6 @@
   return nullptr;
 }
 
-/// True for a late message of a database that has ended, and not of a later start under its name.
-bool has_ended(const PlanContext& context, const Database& told) {
-  if (context.removed_databases == nullptr || !context.removed_databases->contains(told.id)) {
-    return false;
-  }
-  const std::uint64_t* born =
-      context.removed_births == nullptr ? nullptr : find(*context.removed_births, told.id);
-  return born == nullptr || protocol::compare_lives(told.born, *born) != protocol::Life::kLater;
-}
-
-/// Plans several changes of databases, each against what those before it leave, as one change.
-class DatabasePlans {
- public:
-  explicit DatabasePlans(const PlanContext& context) : context_(context) {
-    working_.revision = context.configuration.revision;
-    working_.groups = context.configuration.groups;
-    if (context.removed_databases != nullptr) {
-      removed_ = *context.removed_databases;
-    }
-    if (context.removed_births != nullptr) {
-      births_ = *context.removed_births;
-    }
-  }
-
-  template <typename DatabaseOperation>
-  void add(const core::DatabaseId& database, const DatabaseOperation& operation) {
-    const PlanContext context{working_, 0, {}, &removed_, &births_};
-    Plan plan = plan_one(context, operation);
-    if (plan.error) {
-      planned_.refused.push_back(RefusedDatabase{database, std::move(*plan.error)});
-    } else if (plan.change) {
-      take_up(std::move(plan));
-    }
-  }
-
-  /// One change of all that was accepted.
-  Plan take() {
-    planned_.current_revision = context_.configuration.revision;
-    if (!changed_.empty()) {
-      planned_.change = next_change(context_.configuration);
-    }
-    for (const core::GroupName& name : changed_) {
-      planned_.change->groups.push_back(std::move(working_.groups.at(name)));
-    }
-    return std::move(planned_);
-  }
-
- private:
-  void take_up(Plan plan) {
-    for (Group& group : plan.change->groups) {
-      changed_.insert(group.name);
-      working_.groups[group.name] = std::move(group);
-    }
-    for (const EndedDatabase& ended : plan.replaced) {
-      removed_.insert(ended.database);
-      births_[ended.database] = ended.born;
-    }
-    std::move(plan.replaced.begin(), plan.replaced.end(), std::back_inserter(planned_.replaced));
-  }
-
-  const PlanContext& context_;
-  Configuration working_;  ///< Only what plans of databases look at: the revision and the groups.
-  Members removed_;
-  Births births_;
-  std::set<core::GroupName> changed_;
-  Plan planned_;
-};
-
 }  // namespace
 
 Plan plan_one(const PlanContext& context, const PutRouteTable& put) {
@@ -293,8 +215,8 @@
     return refused(core::ErrorKind::kInvalidArgument, "Database " + told.id.value() + " has no endpoint.",
                    "Give its endpoint as address:port.");
   }
-  if (has_ended(context, told)) {
-    return unchanged(context.configuration.revision);
+  if (context.removed_databases != nullptr && context.removed_databases->contains(told.id)) {
+    return unchanged(context.configuration.revision);  // A late message of a database that has ended.
   }
   if (auto refusal = declared_by_operators(context.configuration, registration.group)) {
     return *refusal;
@@ -306,18 +228,11 @@
   next.departed = false;
   set_connection_limit(next, group.connection_limit);
   if (known != group.databases.end()) {
-    const protocol::Life life = protocol::compare_lives(told.born, known->born);
-    if (life == protocol::Life::kEarlier) {
-      return unchanged(context.configuration.revision);
-    }
-    next.born = std::max(told.born, known->born);
-    if (life == protocol::Life::kSame) {
-      next.draining = told.draining || known->draining;
-      next.departed = known->departed;
-    }
-    const bool same = next.born == known->born && next.endpoint == known->endpoint &&
-                      next.zone == known->zone && next.slots == known->slots &&
-                      next.draining == known->draining && next.connection_limit == known->connection_limit;
+    next.draining = told.draining || known->draining;
+    next.departed = known->departed;
+    const bool same = next.endpoint == known->endpoint && next.zone == known->zone &&
+                      next.slots == known->slots && next.draining == known->draining &&
+                      next.connection_limit == known->connection_limit;
     if (same) {
       return unchanged(context.configuration.revision);
     }
@@ -325,10 +240,8 @@
   } else {
     group.databases.push_back(next);
   }
-  Plan planned{std::nullopt, context.configuration.revision, std::nullopt};
-  planned.replaced = drop_predecessors(context.configuration, change, next);
-  planned.change = std::move(change);
-  return planned;
+  drop_predecessors(context.configuration, change, next);
+  return Plan{std::nullopt, context.configuration.revision, std::move(change)};
 }
 
 Plan plan_one(const PlanContext& context, const DepartDatabase& departure) {
@@ -347,21 +260,6 @@
   return Plan{std::nullopt, context.configuration.revision, std::move(change)};
 }
 
-Plan plan_one(const PlanContext& context, const ChangeDatabases& changes) {
-  if (changes.registrations.size() + changes.departures.size() > kMaxDatabaseChanges) {
-    return refused(core::ErrorKind::kTooLarge, "A change of databases holds too many of them.",
-                   "Send at most " + std::to_string(kMaxDatabaseChanges) + " together.");
-  }
-  DatabasePlans plans(context);
-  for (const RegisterDatabase& registration : changes.registrations) {
-    plans.add(registration.database.id, registration);
-  }
-  for (const DepartDatabase& departure : changes.departures) {
-    plans.add(departure.database, departure);
-  }
-  return plans.take();
-}
-
 Plan plan_one(const PlanContext& context, const RemoveDatabase& removal) {
   const Group* current = group_of(context.configuration, removal.database);
   if (current == nullptr || !current->self_registered) {
--- a/src/configuration/registry_plan.hpp
+++ b/src/configuration/registry_plan.hpp
@@ -8,7 +8,6 @@
 Plan plan_one(const PlanContext& context, const PutRouteTable& put);
 Plan plan_one(const PlanContext& context, const RegisterDatabase& registration);
 Plan plan_one(const PlanContext& context, const DepartDatabase& departure);
-Plan plan_one(const PlanContext& context, const ChangeDatabases& changes);
 Plan plan_one(const PlanContext& context, const RemoveDatabase& removal);
 Plan plan_one(const PlanContext& context, const AdoptPrimary& adoption);
 
--- a/src/configuration/state_machine.cpp
+++ b/src/configuration/state_machine.cpp
@@ -61,19 +61,17 @@
 
 CommandResult StateMachine::execute(const Command& command) {
   const PlanContext context{state_.configuration, command.expected_revision,
-                            promoted_members_for(command.operation), &state_.removed_databases,
-                            &state_.removed_births};
+                            promoted_members_for(command.operation), &state_.removed_databases};
   const Plan planned = plan(context, command.operation);
   CommandResult result;
   result.error = planned.error;
-  result.refused = planned.refused;
   result.current_revision = planned.current_revision;
   if (planned.error) {
     return result;
   }
   result.revision = planned.current_revision;
   if (planned.change) {
-    accept(command, planned);
+    accept(command, *planned.change);
     result.revision = planned.change->revision;
     result.changed = true;
   }
@@ -81,27 +79,18 @@
   return result;
 }
 
-Plan StateMachine::plan_now(const Operation& operation) const {
-  const PlanContext context{state_.configuration, 0, promoted_members_for(operation),
-                            &state_.removed_databases, &state_.removed_births};
-  return plan(context, operation);
-}
-
-void StateMachine::accept(const Command& command, const Plan& planned) {
-  // A heartbeat that a cut has delayed may arrive after its sender has crashed and another database has taken
-  // the address: it must not put the sender back in its successor's place.
-  for (const EndedDatabase& replaced : planned.replaced) {
-    remember_removal(replaced);
+void StateMachine::accept(const Command& command, const Change& change) {
+  if (const auto* registration = std::get_if<RegisterDatabase>(&command.operation)) {
+    remember_predecessors(registration->database);
   }
-  if (const auto* removal = std::get_if<RemoveDatabase>(&command.operation)) {
-    remember_removal(EndedDatabase{removal->database, birth_of(removal->database)});
-  }
-  protocol::apply(state_.configuration, *planned.change);
-  keep_change(*planned.change);
+  protocol::apply(state_.configuration, change);
+  keep_change(change);
   if (const auto* complete = std::get_if<CompletePrimaryChange>(&command.operation)) {
     remember_members(*complete);
   } else if (const auto* put = std::get_if<PutRouteTable>(&command.operation)) {
     state_.route_document = put->document;
+  } else if (const auto* removal = std::get_if<RemoveDatabase>(&command.operation)) {
+    remember_removal(removal->database);
   }
 }
 
@@ -113,33 +102,30 @@
   state_.promoted_members[complete.group] = std::move(members);
 }
 
-void StateMachine::remember_removal(const EndedDatabase& ended) {
-  const bool is_new = state_.removed_databases.insert(ended.database).second;
-  if (ended.born != 0) {
-    state_.removed_births[ended.database] = ended.born;
+// A heartbeat that a cut has delayed may arrive after its sender has crashed and another database has taken
+// the address: it must not put the sender back in its successor's place.
+void StateMachine::remember_predecessors(const protocol::Database& successor) {
+  for (const auto& [name, group] : state_.configuration.groups) {
+    for (const protocol::Database& database : group.databases) {
+      const bool replaced = database.endpoint == successor.endpoint && database.id != successor.id;
+      if (replaced && group.self_registered) {
+        remember_removal(database.id);
+      }
+    }
   }
-  if (!is_new) {
+}
+
+void StateMachine::remember_removal(const core::DatabaseId& database) {
+  if (!state_.removed_databases.insert(database).second) {
     return;
   }
-  state_.removal_order.push_back(ended.database);
+  state_.removal_order.push_back(database);
   while (state_.removal_order.size() > limits_.removed_databases) {
     state_.removed_databases.erase(state_.removal_order.front());
-    state_.removed_births.erase(state_.removal_order.front());
     state_.removal_order.pop_front();
   }
 }
 
-std::uint64_t StateMachine::birth_of(const core::DatabaseId& database) const {
-  for (const auto& [name, group] : state_.configuration.groups) {
-    for (const protocol::Database& one : group.databases) {
-      if (one.id == database) {
-        return one.born;
-      }
-    }
-  }
-  return 0;
-}
-
 void StateMachine::keep_change(const Change& change) {
   const std::size_t bytes = wire::pack(change).size();
   state_.changes.push_back(KeptChange{change, bytes});
--- a/src/configuration/state_machine.hpp
+++ b/src/configuration/state_machine.hpp
@@ -64,9 +64,6 @@
   /// Log index of the last applied command.
   [[nodiscard]] std::uint64_t applied_index() const { return state_.applied_index; }
 
-  /// What an operation of control itself would do now.
-  [[nodiscard]] Plan plan_now(const Operation& operation) const;
-
   /// What follows a revision: changes, or all of it when they are no longer kept or `revision` is unknown
   /// here.
   [[nodiscard]] protocol::FetchReply changes_after(protocol::Revision revision) const;
@@ -88,18 +85,18 @@
     std::string route_document;  ///< The route table in force as its author wrote it.
     Members removed_databases;
     std::deque<core::DatabaseId> removal_order;  ///< Oldest first.
-    Births removed_births;                       ///< Of those of `removed_databases` that have told it.
 
     MSGPACK_DEFINE(applied_index, configuration, changes, change_bytes, answers, answer_order,
-                   promoted_members, route_document, removed_databases, removal_order, removed_births);
+                   promoted_members, route_document, removed_databases, removal_order);
   };
 
   [[nodiscard]] bool costs_more_than_a_snapshot(protocol::Revision revision) const;
   CommandResult execute(const Command& command);
-  void accept(const Command& command, const Plan& planned);
+  void accept(const Command& command, const protocol::Change& change);
   void remember_members(const CompletePrimaryChange& complete);
-  void remember_removal(const EndedDatabase& ended);
-  [[nodiscard]] std::uint64_t birth_of(const core::DatabaseId& database) const;
+  /// Before a registration is applied: the databases that it replaces have ended.
+  void remember_predecessors(const protocol::Database& successor);
+  void remember_removal(const core::DatabaseId& database);
   void keep_change(const protocol::Change& change);
   void keep_answer(const core::RequestKey& key, std::uint64_t fingerprint, const CommandResult& result);
   [[nodiscard]] Members promoted_members_for(const Operation& operation) const;
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -30,11 +30,6 @@
 /// Looks for the applied state, which follows soon after the start, before daemons are told of it.
 constexpr int kLooksForState = 10;
 constexpr std::uint32_t kMillisPerSecond = 1000;
-/// Half of 4,096 descriptors: the others are for daemons, control replicas, own calls and files.
-constexpr std::size_t kMaxHttpConnections = 2048;
-/// For a whole request, and between two: four times the interval of databases' heartbeats. A database that
-/// went on to another replica does not come back to its old connection. Not measured by itself.
-constexpr core::Duration kHttpIdleLimit = std::chrono::seconds(5);
 
 /// Counts a request while it is in progress.
 class InProgress {
@@ -145,16 +140,10 @@
                               core::Duration timeout) {
     return peers_.forward(std::move(leader), std::move(request), timeout);
   };
-  const auto forward_notices = [this](core::Endpoint leader, configuration::ChangeDatabases notices,
-                                      core::Duration timeout) {
-    return peers_.forward_notices(std::move(leader), std::move(notices), timeout);
-  };
-  operators_ =
-      std::make_unique<OperatorApi>(io_, *replica_, *duties_, forward, forward_notices, policy::check);
-  daemons_ = std::make_unique<DaemonService>(
-      *replica_, *duties_,
-      [this](protocol::OperatorRequest request) { return serve_forwarded(std::move(request)); },
-      [this](configuration::ChangeDatabases notices) { return serve_notices(std::move(notices)); });
+  operators_ = std::make_unique<OperatorApi>(io_, *replica_, *duties_, forward, policy::check);
+  daemons_ = std::make_unique<DaemonService>(*replica_, *duties_, [this](protocol::OperatorRequest request) {
+    return serve_forwarded(std::move(request));
+  });
   announcer_ = std::make_unique<Announcer>(io_, options_.self().internal,
                                            [this] { return daemons_->silent_daemons(); });
   if (options_.platform) {
@@ -189,8 +178,6 @@
   http::ServerOptions http_options;
   http_options.address = options_.operators.address;
   http_options.port = options_.operators.port;
-  http_options.max_connections = kMaxHttpConnections;
-  http_options.read_timeout = kHttpIdleLimit;
   auto http_server =
       http::Server::start(io_, http_options, [this](http::Request request, http::Responder respond) {
         on_http(std::move(request), std::move(respond));
@@ -303,13 +290,6 @@
   co_return reply;
 }
 
-awaitable<core::Result<configuration::CommandResult>> ControlServer::serve_notices(
-    configuration::ChangeDatabases notices) {
-  const InProgress counted(requests_in_progress_);
-  auto result = co_await operators_->handle_notices(std::move(notices));
-  co_return result;
-}
-
 awaitable<void> ControlServer::pause(core::Duration duration) {
   boost::system::error_code ignored;
   boost::asio::steady_timer timer(io_, duration);
--- a/src/control/control_server.hpp
+++ b/src/control/control_server.hpp
@@ -77,8 +77,6 @@
   boost::asio::awaitable<void> serve_translated(TranslatedCall call, http::Responder respond);
   boost::asio::awaitable<void> serve_operator(http::Request request, http::Responder respond);
   boost::asio::awaitable<protocol::OperatorReply> serve_forwarded(protocol::OperatorRequest request);
-  boost::asio::awaitable<core::Result<configuration::CommandResult>> serve_notices(
-      configuration::ChangeDatabases notices);
   boost::asio::awaitable<void> ask_to_join();
   boost::asio::awaitable<void> announce();
   boost::asio::awaitable<void> keep_members_connected();
--- a/src/control/daemon_changes.cpp
+++ b/src/control/daemon_changes.cpp
@@ -1,5 +1,9 @@
 #include "control/daemon_changes.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 namespace pipitpond::control {
@@ -7,8 +11,8 @@
 
 using boost::asio::awaitable;
 
-/// A daemon departs once. Its departure is resent over another connection when that is lost.
-constexpr std::size_t kMaxDepartureWaiters = 4;
+/// After a proposal that changed nothing or failed: each one costs every replica a sync.
+constexpr core::Duration kRefusedRest = std::chrono::milliseconds(200);
 
 core::DaemonId daemon_of(const DaemonOperation& operation) {
   return std::visit([](const auto& one) { return one.id; }, operation);
@@ -26,51 +30,84 @@
   changes.remove.push_back(remove);
 }
 
-configuration::ChangeDaemons together(const std::vector<DaemonOperation>& operations) {
-  configuration::ChangeDaemons changes;
-  for (const DaemonOperation& operation : operations) {
-    std::visit([&changes](const auto& one) { append(changes, one); }, operation);
-  }
-  return changes;
-}
-
-core::Error not_confirmed() {
-  return core::Error{core::ErrorKind::kTimeout, "The daemon's removal was not confirmed.",
-                     "Send the departure again.", 500};
-}
-
 }  // namespace
 
 DaemonChanges::DaemonChanges(boost::asio::io_context& io, Propose propose, core::Duration interval)
-    : batches_(
-          io,
-          [propose = std::move(propose)](const std::vector<DaemonOperation>& operations) {
-            return propose(together(operations));
-          },
-          interval, kMaxDaemonChanges) {}
+    : io_(io), propose_(std::move(propose)), interval_(interval) {}
 
 bool DaemonChanges::add(const DaemonOperation& operation) {
   const core::DaemonId daemon = daemon_of(operation);
-  if (batches_.in_progress(daemon) != nullptr || batches_.waiting(daemon) != nullptr) {
+  if (in_progress_.contains(daemon) || waiting_.contains(daemon)) {
     return false;
   }
-  batches_.put(daemon, operation);
+  waiting_.emplace(daemon, Waiting{operation, {}});
+  schedule();
   return true;
 }
 
 awaitable<core::Result<void>> DaemonChanges::remove(configuration::RemoveDaemon removal,
                                                     core::Duration timeout) {
-  const core::DaemonId daemon = removal.id;
-  batches_.put(daemon, std::move(removal));
-  const auto done = batches_.wait_for(daemon, kMaxDepartureWaiters, not_confirmed());
-  const auto result = co_await Batches::Done::wait(done, timeout);
+  auto done = std::make_shared<Done>(io_);
+  Waiting& waiting = waiting_[removal.id];
+  waiting.operation = std::move(removal);
+  waiting.done.push_back(done);
+  schedule();
+  auto result = co_await Done::wait(done, timeout);
   if (!result) {
-    co_return not_confirmed();
+    co_return core::fail(core::ErrorKind::kTimeout, "The daemon's removal was not confirmed.",
+                         "Send the departure again.", 500);
+  }
+  co_return std::move(*result);
+}
+
+void DaemonChanges::schedule() {
+  if (running_) {
+    return;
   }
-  if (!*result) {
-    co_return result->error();
+  running_ = true;
+  boost::asio::co_spawn(io_, run(), boost::asio::detached);
+}
+
+awaitable<void> DaemonChanges::run() {
+  while (!waiting_.empty()) {
+    co_await pause(next_ - core::BootClock::now());
+    next_ = core::BootClock::now() + interval_;
+    const Batch batch = take_batch();
+    configuration::ChangeDaemons changes;
+    for (const auto& [daemon, waiting] : batch) {
+      std::visit([&changes](const auto& one) { append(changes, one); }, waiting.operation);
+      in_progress_.insert(daemon);
+    }
+    const auto result = co_await propose_(std::move(changes));
+    in_progress_.clear();
+    for (const auto& [daemon, waiting] : batch) {
+      for (const std::shared_ptr<Done>& done : waiting.done) {
+        done->deliver(result ? core::Result<void>(core::outcome::success())
+                             : core::Result<void>(core::outcome::failure(result.error())));
+      }
+    }
+    if (!result || !result.value().changed) {
+      next_ = core::BootClock::now() + kRefusedRest;
+    }
+  }
+  running_ = false;
+}
+
+awaitable<void> DaemonChanges::pause(core::Duration duration) {
+  if (duration <= core::Duration::zero()) {
+    co_return;
+  }
+  boost::system::error_code ignored;
+  boost::asio::steady_timer timer(io_, duration);
+  co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+DaemonChanges::Batch DaemonChanges::take_batch() {
+  Batch batch;
+  while (!waiting_.empty() && batch.size() < kMaxDaemonChanges) {
+    batch.insert(waiting_.extract(waiting_.begin()));
   }
-  co_return core::outcome::success();
+  return batch;
 }
 
 }  // namespace pipitpond::control
--- a/src/control/daemon_changes.hpp
+++ b/src/control/daemon_changes.hpp
@@ -6,11 +6,16 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
+#include <memory>
+#include <set>
 #include <variant>
+#include <vector>
 
 #include "configuration/command.hpp"
-#include "control/change_batches.hpp"
+#include "control/one_shot.hpp"
 #include "control/revision_notices.hpp"
 #include "core/clock.hpp"
 #include "core/error.hpp"
@@ -36,6 +41,8 @@
 
   DaemonChanges(boost::asio::io_context& io, Propose propose,
                 core::Duration interval = kDaemonChangesInterval);
+  DaemonChanges(const DaemonChanges&) = delete;
+  DaemonChanges& operator=(const DaemonChanges&) = delete;
 
   /// Asks for a change. While one for the same daemon waits or is in progress, a further one is dropped and
   /// false returned: the caller asks again.
@@ -46,9 +53,27 @@
                                                     core::Duration timeout);
 
  private:
-  using Batches = ChangeBatches<core::DaemonId, DaemonOperation>;
+  using Done = OneShot<core::Result<void>>;
 
-  Batches batches_;
+  struct Waiting {
+    DaemonOperation operation;
+    std::vector<std::shared_ptr<Done>> done;  ///< Told what came of it.
+  };
+
+  using Batch = std::map<core::DaemonId, Waiting>;
+
+  void schedule();
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> pause(core::Duration duration);
+  Batch take_batch();
+
+  boost::asio::io_context& io_;
+  Propose propose_;
+  core::Duration interval_;
+  core::Instant next_;
+  bool running_ = false;
+  Batch waiting_;
+  std::set<core::DaemonId> in_progress_;
 };
 
 }  // namespace pipitpond::control
--- a/src/control/daemon_service.cpp
+++ b/src/control/daemon_service.cpp
@@ -20,12 +20,10 @@
   return leader->internal;
 }
 
-DaemonService::DaemonService(Replica& replica, LeaderDuties& duties, HandleForwarded handle_forwarded,
-                             HandleNotices handle_notices)
+DaemonService::DaemonService(Replica& replica, LeaderDuties& duties, HandleForwarded handle_forwarded)
     : replica_(replica),
       duties_(duties),
       handle_forwarded_(std::move(handle_forwarded)),
-      handle_notices_(std::move(handle_notices)),
       fetch_replies_(replica.machine()) {}
 
 awaitable<core::Result<std::string>> DaemonService::handle(wire::PeerId peer, MessageType type,
@@ -40,8 +38,6 @@
       co_return on_fetch(peer, body);
     case MessageType::kControlForward:
       co_return co_await on_forward(std::move(body));
-    case MessageType::kDatabaseNotices:
-      co_return co_await on_notices(std::move(body));
     case MessageType::kDeparture:
       co_return co_await on_departure(std::move(body));
     default:
@@ -130,18 +126,6 @@
   co_return wire::pack(reply);
 }
 
-awaitable<core::Result<std::string>> DaemonService::on_notices(std::string body) {
-  auto notices = wire::unpack<configuration::ChangeDatabases>(body);
-  if (!notices) {
-    co_return notices.error();
-  }
-  const auto result = co_await handle_notices_(std::move(notices.value()));
-  if (!result) {
-    co_return result.error();
-  }
-  co_return wire::pack(result.value());
-}
-
 awaitable<core::Result<std::string>> DaemonService::on_departure(std::string body) {
   const auto departure = wire::unpack<protocol::Departure>(body);
   if (!departure) {
--- a/src/control/daemon_service.hpp
+++ b/src/control/daemon_service.hpp
@@ -22,15 +22,10 @@
 using HandleForwarded =
     std::function<boost::asio::awaitable<protocol::OperatorReply>(protocol::OperatorRequest)>;
 
-/// Handles notices of databases that a follower has collected.
-using HandleNotices = std::function<boost::asio::awaitable<core::Result<configuration::CommandResult>>(
-    configuration::ChangeDatabases)>;
-
 /// The internal protocol's handler.
 class DaemonService {
  public:
-  DaemonService(Replica& replica, LeaderDuties& duties, HandleForwarded handle_forwarded,
-                HandleNotices handle_notices);
+  DaemonService(Replica& replica, LeaderDuties& duties, HandleForwarded handle_forwarded);
 
   /// For wire::Server.
   boost::asio::awaitable<core::Result<std::string>> handle(wire::PeerId peer, wire::MessageType type,
@@ -56,7 +51,6 @@
   core::Result<std::string> on_heartbeat(wire::PeerId peer, const std::string& body);
   core::Result<std::string> on_fetch(wire::PeerId peer, const std::string& body);
   boost::asio::awaitable<core::Result<std::string>> on_forward(std::string body);
-  boost::asio::awaitable<core::Result<std::string>> on_notices(std::string body);
   boost::asio::awaitable<core::Result<std::string>> on_departure(std::string body);
   [[nodiscard]] core::Error not_leader() const;
   void note_heard(const core::DaemonId& daemon);
@@ -64,7 +58,6 @@
   Replica& replica_;
   LeaderDuties& duties_;
   HandleForwarded handle_forwarded_;
-  HandleNotices handle_notices_;
   FetchReplies fetch_replies_;
   std::set<wire::PeerId> daemon_peers_;
   std::set<core::DaemonId> heard_daemons_;  ///< Of those that the configuration names.
--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -15,6 +15,8 @@
 
 constexpr core::Duration kProposalTimeout = std::chrono::seconds(2);
 constexpr core::Duration kHandOverInterval = std::chrono::seconds(1);
+/// A command that was refused is not proposed again for this long: each proposal costs every replica a sync.
+constexpr core::Duration kRefusedRest = std::chrono::milliseconds(200);
 
 }  // namespace
 
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -24,6 +24,8 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+constexpr std::uint32_t kOk = 200;
+
 OperatorReply ok(const json& body) {
   return OperatorReply{200, dump(body)};
 }
@@ -75,6 +77,13 @@
                      1000};
 }
 
+/// Notices of databases: POST /v1/databases/ID/heartbeat and POST /v1/databases/ID/leave.
+const std::string kDatabasesPath = "/v1/databases/";
+
+bool is_database_notice(const OperatorRequest& request) {
+  return request.method == "POST" && request.path.starts_with(kDatabasesPath);
+}
+
 /// The name in "/v1/groups/NAME" for the prefix "/v1/groups/"; empty when the path has another prefix.
 std::string name_after(const std::string& path, const std::string& prefix) {
   return path.starts_with(prefix) ? path.substr(prefix.size()) : std::string();
@@ -115,24 +124,25 @@
 }
 
 OperatorApi::OperatorApi(boost::asio::io_context& io, Replica& replica, LeaderDuties& duties,
-                         ForwardToLeader forward, ForwardNotices forward_notices, CheckPolicy check_policy,
-                         OperatorTimeouts timeouts)
+                         ForwardToLeader forward, CheckPolicy check_policy, OperatorTimeouts timeouts)
     : io_(io),
       replica_(replica),
       duties_(duties),
       forward_(std::move(forward)),
       check_policy_(std::move(check_policy)),
-      timeouts_(timeouts),
-      notices_(io, replica, std::move(forward_notices)) {}
+      timeouts_(timeouts) {}
 
 awaitable<OperatorReply> OperatorApi::handle(OperatorRequest request) {
-  if (is_database_notice(request)) {
-    co_return co_await notices_.handle(std::move(request));
+  if (auto known = answer_known_database(request)) {
+    co_return std::move(*known);
   }
   const core::Instant give_up = core::BootClock::now() + timeouts_.leader_change;
   while (true) {
     OperatorReply reply = co_await attempt(request);
     if (!worth_another_attempt(reply) || core::BootClock::now() >= give_up) {
+      if (reply.status == kOk && is_database_notice(request)) {
+        co_return database_reply();  // Not the leader's, which names the leader.
+      }
       co_return reply;
     }
     boost::system::error_code ignored;
@@ -243,8 +253,8 @@
 }
 
 awaitable<OperatorReply> OperatorApi::handle_post(OperatorRequest request) {
-  if (is_database_notice(request)) {
-    co_return co_await notices_.handle(std::move(request));
+  if (!name_after(request.path, kDatabasesPath).empty()) {
+    co_return co_await change_database(std::move(request));
   }
   if (request.path == "/v1/drain") {
     co_return co_await change(parse_drain(request.body));
@@ -258,7 +268,8 @@
   co_return error_reply(no_such_path(request));
 }
 
-// --- Routes ------------------------------------------------------------------------------------------------
+// --- Routes and databases that register by themselves
+// ---------------------------------------------------------
 
 awaitable<OperatorReply> OperatorApi::put_routes(OperatorRequest request) {
   auto put = parse_put_routes(request.body);
@@ -282,9 +293,50 @@
   co_return OperatorReply{200, replica_.machine().route_document()};
 }
 
-awaitable<core::Result<configuration::CommandResult>> OperatorApi::handle_notices(
-    configuration::ChangeDatabases notices) {
-  return notices_.handle_as_leader(std::move(notices));
+awaitable<OperatorReply> OperatorApi::change_database(OperatorRequest request) {
+  auto command = parse_database_notice(request.path.substr(kDatabasesPath.size()), request.body);
+  if (!command) {
+    co_return error_reply(command.error());
+  }
+  const auto result = co_await replica_.propose(std::move(command.value()), timeouts_.proposal);
+  if (!result) {
+    co_return error_reply(result.error());
+  }
+  if (result.value().error) {
+    co_return error_reply(*result.value().error);
+  }
+  co_return database_reply();
+}
+
+/// Most notices of databases tell what every replica knows already: no need to ask the leader.
+std::optional<OperatorReply> OperatorApi::answer_known_database(const OperatorRequest& request) const {
+  if (!is_database_notice(request)) {
+    return std::nullopt;
+  }
+  const auto command = parse_database_notice(request.path.substr(kDatabasesPath.size()), request.body);
+  if (!command) {
+    return error_reply(command.error());
+  }
+  const configuration::PlanContext context{replica_.machine().configuration(), 0, {}};
+  const configuration::Plan planned = configuration::plan(context, command.value().operation);
+  if (planned.error || planned.change) {
+    return std::nullopt;
+  }
+  return database_reply();
+}
+
+/// Tells where the next notices are best sent: here. Most tell nothing new, which any replica can say, so
+/// that they spread over all replicas by themselves as databases move on from one that failed. Of 100
+/// machines the busiest replica held 653 connections and took up 18 new ones a second; 1,723 and 65 when all
+/// were told to go to the leader.
+OperatorReply OperatorApi::database_reply() const {
+  json body = json::object();
+  const raft::Node& node = replica_.node();
+  const raft::Member* self = node.membership().find(node.config().id);
+  if (self != nullptr) {
+    body["next"] = self->operators;
+  }
+  return ok(body);
 }
 
 OperatorReply OperatorApi::check(const core::Result<std::string>& source) {
--- a/src/control/operator_api.hpp
+++ b/src/control/operator_api.hpp
@@ -12,7 +12,6 @@
 #include <string_view>
 
 #include "configuration/command.hpp"
-#include "control/database_notice_api.hpp"
 #include "control/leader_duties.hpp"
 #include "control/operator_json.hpp"
 #include "control/replica.hpp"
@@ -42,15 +41,12 @@
 class OperatorApi {
  public:
   OperatorApi(boost::asio::io_context& io, Replica& replica, LeaderDuties& duties, ForwardToLeader forward,
-              ForwardNotices forward_notices, CheckPolicy check_policy, OperatorTimeouts timeouts = {});
+              CheckPolicy check_policy, OperatorTimeouts timeouts = {});
 
   /// A request from an operator: carried out here or by the leader.
   boost::asio::awaitable<protocol::OperatorReply> handle(protocol::OperatorRequest request);
   /// A request that a follower passed on: never passed on again.
   boost::asio::awaitable<protocol::OperatorReply> handle_as_leader(protocol::OperatorRequest request);
-  /// Notices of databases that a follower has collected.
-  boost::asio::awaitable<core::Result<configuration::CommandResult>> handle_notices(
-      configuration::ChangeDatabases notices);
 
  private:
   using Reply = protocol::OperatorReply;
@@ -63,6 +59,9 @@
   boost::asio::awaitable<Reply> change_members(core::Result<MemberRequest> request);
   boost::asio::awaitable<Reply> put_routes(protocol::OperatorRequest request);
   boost::asio::awaitable<Reply> read_routes();
+  boost::asio::awaitable<Reply> change_database(protocol::OperatorRequest request);
+  [[nodiscard]] std::optional<Reply> answer_known_database(const protocol::OperatorRequest& request) const;
+  [[nodiscard]] Reply database_reply() const;
   Reply check(const core::Result<std::string>& source);
   [[nodiscard]] Reply read(const std::string& path) const;
   [[nodiscard]] core::Result<configuration::Command> parse_policy(const core::PolicyName& name,
@@ -74,7 +73,6 @@
   ForwardToLeader forward_;
   CheckPolicy check_policy_;
   OperatorTimeouts timeouts_;
-  DatabaseNoticeApi notices_;
 };
 
 /// An error as the operator gets it.
--- a/src/control/peer_channels.cpp
+++ b/src/control/peer_channels.cpp
@@ -60,15 +60,6 @@
   co_return wire::unpack<protocol::OperatorReply>(body.value());
 }
 
-awaitable<core::Result<configuration::CommandResult>> PeerChannels::forward_notices(
-    core::Endpoint peer, configuration::ChangeDatabases notices, core::Duration timeout) {
-  const auto body = co_await channel(peer).call(MessageType::kDatabaseNotices, wire::pack(notices), timeout);
-  if (!body) {
-    co_return body.error();
-  }
-  co_return wire::unpack<configuration::CommandResult>(body.value());
-}
-
 awaitable<core::Result<protocol::Revision>> PeerChannels::revision_of(core::Endpoint peer,
                                                                       core::Duration timeout) {
   // Asks for nothing: the answer names the peer's revision all the same, and is short.
--- a/src/control/peer_channels.hpp
+++ b/src/control/peer_channels.hpp
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 
-#include "configuration/command.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
@@ -31,9 +30,6 @@
   boost::asio::awaitable<core::Result<protocol::OperatorReply>> forward(core::Endpoint peer,
                                                                         protocol::OperatorRequest request,
                                                                         core::Duration timeout);
-  /// Passes notices of databases on.
-  boost::asio::awaitable<core::Result<configuration::CommandResult>> forward_notices(
-      core::Endpoint peer, configuration::ChangeDatabases notices, core::Duration timeout);
   /// The revision that a peer has; fails when it can't be asked.
   boost::asio::awaitable<core::Result<protocol::Revision>> revision_of(core::Endpoint peer,
                                                                        core::Duration timeout);
--- a/src/control/route_json.cpp
+++ b/src/control/route_json.cpp
@@ -117,13 +117,8 @@
   return tenants;
 }
 
-std::uint64_t whole_or_none(JsonFields& fields, const std::string& name) {
-  return fields.has(name) ? fields.number(name, kMaxVersion) : 0;
-}
-
-ReceivedNotice read_heartbeat(const core::DatabaseId& id, const json& value) {
+configuration::Operation read_heartbeat(const core::DatabaseId& id, const json& value) {
   JsonFields fields(value, "body");
-  ReceivedNotice notice;
   configuration::RegisterDatabase registration;
   registration.group = core::GroupName(fields.text("group"));
   registration.database.id = id;
@@ -131,11 +126,8 @@
   registration.database.zone = core::ZoneName(fields.text_or("zone", ""));
   registration.database.slots = count_or_none(fields, "slots");
   registration.database.draining = fields.boolean_or("draining", false);
-  registration.database.born = whole_or_none(fields, "born");
-  notice.sequence = whole_or_none(fields, "sequence");
   fields.no_others();
-  notice.operation = std::move(registration);
-  return notice;
+  return registration;
 }
 
 }  // namespace
@@ -157,19 +149,24 @@
   });
 }
 
-core::Result<ReceivedNotice> parse_database_notice(const std::string& id_and_notice,
-                                                   const std::string& body) {
+core::Result<configuration::Command> parse_database_notice(const std::string& id_and_notice,
+                                                           const std::string& body) {
   const auto slash = id_and_notice.find('/');
   const core::DatabaseId id(id_and_notice.substr(0, slash));
   const std::string notice = slash == std::string::npos ? "" : id_and_notice.substr(slash + 1);
+  configuration::Command command;
   if (notice == "leave") {
-    return ReceivedNotice{configuration::DepartDatabase{id}, 0};
+    command.operation = configuration::DepartDatabase{id};
+    return command;
   }
   if (notice != "heartbeat") {
     return core::fail(core::ErrorKind::kNotFound, "There is no such notice of a database.",
                       "Send POST /v1/databases/ID/heartbeat or POST /v1/databases/ID/leave.");
   }
-  return parse_fields(body, [&](const json& value) { return read_heartbeat(id, value); });
+  return parse_fields(body, [&](const json& value) {
+    command.operation = read_heartbeat(id, value);
+    return command;
+  });
 }
 
 }  // namespace pipitpond::control
--- a/src/control/route_json.hpp
+++ b/src/control/route_json.hpp
@@ -1,7 +1,6 @@
 // JSON of route tables and of the notices of databases that register by themselves. See docs/API.md.
 #pragma once
 
-#include <cstdint>
 #include <string>
 
 #include "configuration/command.hpp"
@@ -12,13 +11,8 @@
 /// Reads the body of PUT /v1/routes. Fails with kInvalidArgument.
 core::Result<configuration::PutRouteTable> parse_put_routes(const std::string& body);
 
-/// A notice as it was received.
-struct ReceivedNotice {
-  configuration::Operation operation;
-  std::uint64_t sequence = 0;  ///< Grows with each heartbeat of one start of the database; 0: not told.
-};
-
 /// Reads a notice: `id_and_notice` is "ID/heartbeat" or "ID/leave". Fails with kInvalidArgument or kNotFound.
-core::Result<ReceivedNotice> parse_database_notice(const std::string& id_and_notice, const std::string& body);
+core::Result<configuration::Command> parse_database_notice(const std::string& id_and_notice,
+                                                           const std::string& body);
 
 }  // namespace pipitpond::control
--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -31,7 +31,6 @@
 void GroupCoordinator::on_configuration(core::Instant now, const protocol::Group& group,
                                         std::vector<core::DaemonId> owners, protocol::Revision revision) {
   const core::Term term_before = last_term();
-  const std::vector<core::DatabaseId> started_anew = started_again(group);
   group_ = group;
   owners_ = std::move(owners);
   watch_.set_members(group_);
@@ -55,37 +54,6 @@
     // Someone else began this term. What it has asked of the databases is not known here, so that no
     // database may be promoted in it: tick begins the next term.
     enter_steady();
-  } else {
-    forget_fences(now, started_anew);
-  }
-}
-
-std::vector<core::DatabaseId> GroupCoordinator::started_again(const protocol::Group& next) const {
-  std::vector<core::DatabaseId> databases;
-  for (const protocol::Database& database : next.databases) {
-    const protocol::Database* before = member(database.id);
-    const bool anew =
-        before != nullptr && protocol::compare_lives(database.born, before->born) == protocol::Life::kLater;
-    if (anew) {
-      databases.push_back(database.id);
-    }
-  }
-  return databases;
-}
-
-void GroupCoordinator::forget_fences(core::Instant now, const std::vector<core::DatabaseId>& databases) {
-  if (databases.empty()) {
-    return;
-  }
-  if (phase_ == Phase::kFencing) {
-    for (const core::DatabaseId& database : databases) {
-      fences_.erase(database);
-    }
-    majority_since_.reset();
-    send_fences(now);
-  } else if (phase_ == Phase::kPromoting) {
-    // The promotion counts on the fence, and may take effect any time: a further term asks all of them again.
-    begin(now, false);
   }
 }
 
--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -72,10 +72,6 @@
   [[nodiscard]] bool planned_change_is_due(core::Instant now, const Tally& tally);
   [[nodiscard]] bool primary_is_leaving(const Tally& tally) const;
 
-  /// Members that are in both, and were started anew in between.
-  [[nodiscard]] std::vector<core::DatabaseId> started_again(const protocol::Group& next) const;
-  /// What a database promised before it started again is void: it receives again.
-  void forget_fences(core::Instant now, const std::vector<core::DatabaseId>& databases);
   void enter_steady();
   void begin(core::Instant now, bool planned);
   void propose_begin(core::Instant now);
--- a/src/failover/member_watch.cpp
+++ b/src/failover/member_watch.cpp
@@ -10,13 +10,10 @@
   std::map<core::DatabaseId, Member> members;
   for (const protocol::Database& database : group.databases) {
     const auto known = members_.find(database.id);
-    const bool stays = known != members_.end() && known->second.endpoint == database.endpoint &&
-                       protocol::compare_lives(database.born, known->second.born) == protocol::Life::kSame;
-    if (stays) {
+    if (known != members_.end() && known->second.endpoint == database.endpoint) {
       members[database.id] = known->second;
     }
     members[database.id].endpoint = database.endpoint;
-    members[database.id].born = database.born;
   }
   members_ = std::move(members);
   group_ = group.name;
@@ -24,10 +21,9 @@
 
 void MemberWatch::reset() {
   for (auto& [id, member] : members_) {
-    Member fresh;
-    fresh.endpoint = member.endpoint;
-    fresh.born = member.born;
-    member = std::move(fresh);
+    const core::Endpoint endpoint = member.endpoint;
+    member = Member{};
+    member.endpoint = endpoint;
   }
   last_probe_call_.reset();
 }
--- a/src/failover/member_watch.hpp
+++ b/src/failover/member_watch.hpp
@@ -18,7 +18,7 @@
 /// Probes the members of one group.
 class MemberWatch {
  public:
-  /// Takes over the group's databases; what is known of those that stay, and have not started again, is kept.
+  /// Takes over the group's databases; what is known of those that stay is kept.
   void set_members(const protocol::Group& group);
   /// Forgets all answers, as after a gain of leadership.
   void reset();
@@ -46,7 +46,6 @@
  private:
   struct Member {
     core::Endpoint endpoint;
-    std::uint64_t born = 0;             ///< 0: not told.
     std::optional<core::Instant> sent;  ///< Probe without an answer so far.
     std::optional<core::Instant> last_sent;
     std::uint32_t failures = 0;
--- a/src/protocol/configuration.hpp
+++ b/src/protocol/configuration.hpp
@@ -49,26 +49,10 @@
   bool departed = false;
   /// Owners that share its connections; 0: kOwnersPerDatabase.
   std::uint32_t max_owners = 0;
-  /// When it was started, Unix time in ms; 0: not told. One that starts again under its name holds nothing of
-  /// what it held before.
-  std::uint64_t born = 0;
 
-  bool operator==(const Database&) const = default;
-
-  MSGPACK_DEFINE(id, endpoint, zone, connection_limit, slots, draining, departed, max_owners, born);
+  MSGPACK_DEFINE(id, endpoint, zone, connection_limit, slots, draining, departed, max_owners);
 };
 
-/// How a message of a database stands to the start that is known of it.
-enum class Life : std::uint8_t { kEarlier, kSame, kLater };
-
-/// A start that was not told counts as the same.
-constexpr Life compare_lives(std::uint64_t told, std::uint64_t known) {
-  if (told == 0 || known == 0 || told == known) {
-    return Life::kSame;
-  }
-  return told < known ? Life::kEarlier : Life::kLater;
-}
-
 /// Start of one primary's term.
 struct TermStart {
   core::Term term = 0;
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -19,8 +19,6 @@
   kDatabaseStatus =
       11,       ///< pooling::ForwardedStatusRequest -> pooling::BackendStatus, daemon to owner daemon.
   kQuota = 13,  ///< pooling::QuotaRequest -> pooling::QuotaReply, daemon to a tenant's home daemon.
-  kDatabaseNotices =
-      14,  ///< configuration::ChangeDatabases -> configuration::CommandResult, control to leader.
   kPrimaryPositions = 12,  ///< pooling::PositionRequest -> pooling::PositionReply, daemon to owner daemon.
   kShownPrimary =
       14,  ///< pooling::ShownPrimaryRequest -> pooling::ShownPrimaryReply, daemon to owner daemon.
