--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -201,7 +201,7 @@
   soak(GetParam(), kDefaultSeconds);
 }
 
-INSTANTIATE_TEST_SUITE_P(Kept, SoakSeeds, ::testing::Values(1, 2, 53009));
+INSTANTIATE_TEST_SUITE_P(Kept, SoakSeeds, ::testing::Values(1, 2, 53009, 71006));
 
 /// A number from the environment, or the given one.
 int number_or(const char* name, int otherwise) {
