A stop tells what its listener and connections held; a cut request names its moment

The oracle's finding named neither the operation nor when the request and its transaction began; a stopping proxy logged neither the connections that wait in its listener's queue when it is closed, nor those that are open, with unread bytes, when the process ends. Only sight: no decision changes.

--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -1,5 +1,6 @@
 #include "http/connection_table.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 #include <vector>
@@ -44,6 +45,13 @@
   return sockets_.size() + rejected_.size() < max_connections_;
 }
 
+std::size_t ConnectionTable::with_unread_bytes() const {
+  return static_cast<std::size_t>(std::count_if(sockets_.begin(), sockets_.end(), [](const auto& entry) {
+    boost::system::error_code error;
+    return entry.second->available(error) > 0 && !error;
+  }));
+}
+
 void ConnectionTable::add(ConnectionId id, TrackedSocket& socket) {
   sockets_.emplace(id, &socket);
 }
--- a/src/http/connection_table.hpp
+++ b/src/http/connection_table.hpp
@@ -52,6 +52,7 @@
   /// True when one more connection may be accepted.
   [[nodiscard]] bool has_room() const;
   [[nodiscard]] std::size_t size() const { return sockets_.size(); }
+  [[nodiscard]] std::size_t with_unread_bytes() const;
 
   void add(ConnectionId id, TrackedSocket& socket);
   /// Forgets a connection that is closed and reports it once. Harmless for an unknown one.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "http/connection_table.hpp"
+#include "http/listening_socket.hpp"
 
 namespace pipitpond::http {
 
@@ -206,7 +207,16 @@
 
   [[nodiscard]] std::uint16_t port() const override { return port_; }
   [[nodiscard]] std::size_t connections() const override { return table_->size(); }
-  void stop_accepting() override { server_.close_sync(); }
+  [[nodiscard]] std::size_t connections_with_unread_bytes() const override {
+    return table_->with_unread_bytes();
+  }
+  [[nodiscard]] std::size_t connections_to_accept() const override {
+    return accepting_ ? waiting_in_queue(listening_socket_) : 0;
+  }
+  void stop_accepting() override {
+    accepting_ = false;
+    server_.close_sync();
+  }
   void close(ConnectionId connection) override { table_->close(connection); }
 
  private:
@@ -226,8 +236,10 @@
                                       .max_field_count(kMaxHeaders)
                                       .max_body_size(options.max_body_bytes))
         .socket_options_setter([](auto& socket) { socket.set_option(asio::ip::tcp::no_delay(true)); })
-        .acceptor_post_bind_hook(
-            [this](asio::ip::tcp::acceptor& acceptor) { port_ = acceptor.local_endpoint().port(); })
+        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
+          port_ = acceptor.local_endpoint().port();
+          listening_socket_ = acceptor.native_handle();
+        })
         .connection_state_listener(std::make_shared<ConnectionListener>(table_))
         .ip_blocker(std::make_shared<ConnectionLimiter>(table_))
         .logger(table_)
@@ -235,6 +247,8 @@
   }
 
   std::uint16_t port_ = 0;
+  int listening_socket_ = -1;
+  bool accepting_ = true;
   std::shared_ptr<ConnectionTable> table_;
   RestinioServer server_;
 };
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -50,6 +50,10 @@
   [[nodiscard]] virtual std::uint16_t port() const = 0;
   /// Number of open connections.
   [[nodiscard]] virtual std::size_t connections() const = 0;
+  /// Open connections on which bytes lie that have not been read: closing these resets them.
+  [[nodiscard]] virtual std::size_t connections_with_unread_bytes() const = 0;
+  /// Connections that the system has accepted and this server has not taken yet; 0 once it stopped accepting.
+  [[nodiscard]] virtual std::size_t connections_to_accept() const = 0;
   /// Accepts no new connections; requests in progress are still answered.
   virtual void stop_accepting() = 0;
   /// Closes the connection at once, if it is still open.
--- a/src/oracle/judge.cpp
+++ b/src/oracle/judge.cpp
@@ -1,6 +1,7 @@
 #include "oracle/judge.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <map>
 #include <set>
 #include <utility>
@@ -26,6 +27,26 @@
          ending == Ending::kUnfinished;
 }
 
+/// "12 ms before" or "12 ms after".
+std::string distance(workload::UnixMicros moment, workload::UnixMicros reference) {
+  constexpr workload::UnixMicros kMicrosPerMilli = 1000;
+  const workload::UnixMicros apart = (moment - reference) / kMicrosPerMilli;
+  return std::to_string(std::abs(apart)) + " ms " + (apart < 0 ? "before" : "after");
+}
+
+/// Which request a drain cut, and when it and its transaction began.
+std::string describe_cut(const RequestRecord& record, workload::UnixMicros transaction_began,
+                         const FaultRecord& drain) {
+  const bool in_transaction =
+      record.operation == Operation::kStatement || record.operation == Operation::kCommit;
+  std::string text = nlohmann::json(record.operation).get<std::string>() + " begun " +
+                     distance(record.began_us, drain.began_us) + " the drain's begin";
+  if (in_transaction) {
+    text += ", its transaction " + distance(transaction_began, drain.began_us);
+  }
+  return text + ", ended as " + nlohmann::json(record.ending).get<std::string>();
+}
+
 std::string text_of(const core::LogPosition& position) {
   return "(" + std::to_string(position.term) + ", " + std::to_string(position.index) + ")";
 }
@@ -227,7 +248,8 @@
           stops_proxy(drain.kind) ? record.proxy == drain.target : record.group == drain.group;
       if (concerned && was_cut(record, transaction_began[record.caller], drain)) {
         find(verdict_.requests_cut_by_drain,
-             "cut by the drain of " + drain.target + ": " + name_of(record) + " " + record.error_message);
+             "cut by the drain of " + drain.target + ": " + name_of(record) + ", " +
+                 describe_cut(record, transaction_began[record.caller], drain) + ": " + record.error_message);
       }
     }
   }
--- a/src/proxy/daemon.cpp
+++ b/src/proxy/daemon.cpp
@@ -219,11 +219,15 @@
   log->info("Drain: new requests are refused; {} are in progress.", caller_api_.in_progress());
   co_await wait_until([this] { return caller_api_.in_progress() == 0 && internal_in_progress_ == 0; },
                       kDrainRequests);
+  log->info("Drain: the callers' port closes; {} connections wait to be accepted.",
+            callers_server_->connections_to_accept());
   callers_server_->stop_accepting();
   owned_.close();
   co_await wait_until([this] { return owned_.held() == 0; }, kDrainConnections);
   log->info("Drain: {} database connections are left.", owned_.held());
   co_await agent_->depart(kDepartTimeout);
+  log->info("Drain: ended with {} callers' connections open, {} of them with unread bytes.",
+            callers_server_->connections(), callers_server_->connections_with_unread_bytes());
   stop();
 }
 
