A server that stops resets no connection: its queue is accepted, idle ones are told, answers are written whole

Callers met 'Connection reset by peer' on requests that they had sent in full, while a proxy stopped. Closing a listening socket resets its queue. By reading, the same at kept connections and at answers still being written when the process ends. Ruled out for the reset that was seen: kept connections (none was open). Change: before the listener closes, the system drops packets that begin connections, and what waits is accepted; each answer ends its connection; idle ones are told 408 and ended by a half-close, and are read to the client's end (RFC 9112, 9.6); what is read after a 408 never runs. Our client takes a 408 for 'nothing was sent'. RejectedConnection became net::LingeringConnection. Control's operators' port is drained the same way, without the 408. Why it holds: no request can be read and not answered, nor be acknowledged by the system and not be read.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -340,8 +340,9 @@
 awaitable<void> ControlServer::stop() {
   stopping_ = true;
   announcer_->stop();
-  http_->stop_accepting();
+  http_->close_after_answers();
   co_await hand_over_leadership();
+  co_await http_->drain(kFinishLimit, http::IdleEnd::kSilent);
   co_await finish_requests();
   if (platform_) {
     platform_->stop();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -17,6 +17,8 @@
 #include <string>
 #include <utility>
 
+#include "http/closing_answer.hpp"
+
 namespace pipitpond::http {
 namespace {
 
@@ -217,7 +219,13 @@
   if (!parser.keep_alive() || connection->buffer.size() > 0) {
     connection->end();
   }
-  co_return from_http(parser.release());
+  Response response = from_http(parser.release());
+  if (response.status == kRequestTimeout) {
+    // The peer ended the idle connection while the request was on its way and read none of it.
+    connection->end();
+    co_return nothing_sent(connection->peer, "the peer ended the connection before it read the request");
+  }
+  co_return response;
 }
 
 asio::awaitable<void> wait_for_end(std::shared_ptr<Connection> connection) {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -26,7 +26,8 @@
 
   /// Sends one request and reads its whole response. Fails with kTimeout or kConnectionLost; from then on the
   /// request may have run and the connection is closed, so that no late answer can reach a later request.
-  /// A connection found closed before the first byte was written fails with kConnectionRefused.
+  /// A connection found closed before the first byte was written, or ended by the peer with a 408 (it read no
+  /// request), fails with kConnectionRefused.
   virtual boost::asio::awaitable<core::Result<Response>> send(Request request, core::Duration timeout) = 0;
 
   /// False once the connection was closed by either side.
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "http/rejected_connection.hpp"
+#include "http/closing_answer.hpp"
 
 namespace pipitpond::http {
 
@@ -22,14 +22,12 @@
 }
 
 void TrackedSocket::shutdown(shutdown_type type, boost::system::error_code& error) {
-  const auto rejection = table_ ? table_->take_rejection() : std::nullopt;
-  if (!rejection) {
+  auto words = table_ ? table_->last_words(id_) : std::nullopt;
+  if (!words) {
     Base::shutdown(type, error);
     return;
   }
-  // Nothing is being read or written: requests are not pipelined, and the parser failed within a read's
-  // handler.
-  table_->reject(Base(std::move(static_cast<Base&>(*this))), *rejection);
+  table_->linger(release(), std::move(*words));
 }
 
 void TrackedSocket::close() {
@@ -37,27 +35,37 @@
   Base::close(ignored);
 }
 
+TrackedSocket::Base TrackedSocket::release() {
+  boost::system::error_code ignored;
+  Base::cancel(ignored);
+  return Base(std::move(static_cast<Base&>(*this)));
+}
+
 ConnectionTable::ConnectionTable(boost::asio::io_context& io, std::size_t max_connections,
                                  ConnectionClosed closed)
     : io_(io), max_connections_(max_connections), closed_(std::move(closed)) {}
 
 bool ConnectionTable::has_room() const {
-  return sockets_.size() + rejected_.size() < max_connections_;
+  return connections_.size() + lingering_.size() < max_connections_;
 }
 
 std::size_t ConnectionTable::with_unread_bytes() const {
-  return static_cast<std::size_t>(std::count_if(sockets_.begin(), sockets_.end(), [](const auto& entry) {
-    boost::system::error_code error;
-    return entry.second->available(error) > 0 && !error;
-  }));
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& entry) { return entry.second.has_unread_bytes(); }));
+}
+
+bool ConnectionTable::Connection::has_unread_bytes() const {
+  boost::system::error_code error;
+  return socket->available(error) > 0 && !error;
 }
 
 void ConnectionTable::add(ConnectionId id, TrackedSocket& socket) {
-  sockets_.emplace(id, &socket);
+  connections_.emplace(id, Connection{&socket});
 }
 
 void ConnectionTable::remove(ConnectionId id) {
-  if (sockets_.erase(id) == 0 || !closed_) {
+  if (connections_.erase(id) == 0 || !closed_) {
     return;
   }
   // Posted, so that a callback never runs inside the destructor of a request or in the middle of a close.
@@ -69,41 +77,90 @@
 }
 
 void ConnectionTable::close(ConnectionId id) {
-  const auto found = sockets_.find(id);
-  if (found == sockets_.end()) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) {
     return;
   }
+  TrackedSocket& socket = *found->second.socket;
   boost::system::error_code ignored;
-  found->second->TrackedSocket::Base::shutdown(TrackedSocket::shutdown_both, ignored);
-  found->second->close();
+  socket.TrackedSocket::Base::shutdown(TrackedSocket::shutdown_both, ignored);
+  socket.close();
   remove(id);
 }
 
 void ConnectionTable::shut_down() {
   closed_ = {};
   std::vector<ConnectionId> open;
-  open.reserve(sockets_.size());
-  for (const auto& [id, socket] : sockets_) {
+  open.reserve(connections_.size());
+  for (const auto& [id, connection] : connections_) {
     open.push_back(id);
   }
   for (const ConnectionId id : open) {
     close(id);
   }
-  for (const auto& entry : rejected_) {
-    if (const auto connection = entry.lock()) {
-      connection->close();
+  for (const auto& connection : std::unordered_set(lingering_)) {
+    connection->close();
+  }
+}
+
+bool ConnectionTable::begin_request(ConnectionId id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) {
+    return false;
+  }
+  found->second.busy = true;
+  return true;
+}
+
+void ConnectionTable::end_request(ConnectionId id) {
+  const auto found = connections_.find(id);
+  if (found != connections_.end()) {
+    found->second.busy = false;
+  }
+}
+
+void ConnectionTable::end_after_answer(ConnectionId id) {
+  const auto found = connections_.find(id);
+  if (found != connections_.end()) {
+    found->second.ends_after_answer = true;
+  }
+}
+
+void ConnectionTable::end_idle(const std::string& answer) {
+  std::vector<ConnectionId> idle;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection.busy && !connection.ends_after_answer && !connection.has_unread_bytes()) {
+      idle.push_back(id);
     }
   }
+  for (const ConnectionId id : idle) {
+    linger(connections_.at(id).socket->release(), answer);
+    remove(id);
+  }
 }
 
 std::optional<unsigned> ConnectionTable::take_rejection() {
   return std::exchange(rejection_status_, std::nullopt);
 }
 
-void ConnectionTable::reject(boost::asio::ip::tcp::socket socket, unsigned status) {
-  rejected_.remove_if([](const auto& entry) { return entry.expired(); });
-  const auto connection = std::make_shared<RejectedConnection>(std::move(socket), status);
-  rejected_.push_back(connection);
+std::optional<std::string> ConnectionTable::last_words(ConnectionId id) {
+  if (const auto status = take_rejection()) {
+    return closing_answer(*status);
+  }
+  const auto found = connections_.find(id);
+  const bool ends_after_answer = found != connections_.end() && found->second.ends_after_answer;
+  return ends_after_answer ? std::optional<std::string>(std::string()) : std::nullopt;
+}
+
+void ConnectionTable::linger(boost::asio::ip::tcp::socket socket, std::string answer) {
+  auto ended = [weak = weak_from_this()](const std::shared_ptr<net::LingeringConnection>& connection) {
+    if (const auto table = weak.lock()) {
+      table->lingering_.erase(connection);
+    }
+  };
+  const auto connection =
+      std::make_shared<net::LingeringConnection>(std::move(socket), std::move(answer), std::move(ended));
+  lingering_.insert(connection);
   connection->start();
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -37,6 +37,13 @@
 /// Called when a connection closes, after its last request was handed over.
 using ConnectionClosed = std::function<void(ConnectionId)>;
 
+/// How the idle connections of a server that stops are ended.
+enum class IdleEnd : std::uint8_t {
+  kSilent,          ///< The stream ends; a client can't tell whether a request that was on its way has run.
+  kRequestTimeout,  ///< A 408 goes before the end: no request was read, so one on its way is safely sent
+                    ///< again.
+};
+
 /// A listening server. Destroying it closes all connections.
 class Server {
  public:
@@ -54,8 +61,12 @@
   [[nodiscard]] virtual std::size_t connections_with_unread_bytes() const = 0;
   /// Connections that the system has accepted and this server has not taken yet; 0 once it stopped accepting.
   [[nodiscard]] virtual std::size_t connections_to_accept() const = 0;
-  /// Accepts no new connections; requests in progress are still answered.
-  virtual void stop_accepting() = 0;
+  /// From now on every answer ends its connection, so that clients go to other servers.
+  virtual void close_after_answers() = 0;
+  /// Ends the server without cutting a request: connections that clients believe to be open are accepted,
+  /// requests that have been read are answered, idle connections are ended as `idle` says, and the clients'
+  /// ends are waited for. Returns when no connection is left, after `limit` at the latest.
+  virtual boost::asio::awaitable<void> drain(core::Duration limit, IdleEnd idle) = 0;
   /// Closes the connection at once, if it is still open.
   virtual void close(ConnectionId connection) = 0;
 };
--- a/src/proxy/caller_api.cpp
+++ b/src/proxy/caller_api.cpp
@@ -74,7 +74,6 @@
            kNotFound, respond);
     return;
   }
-  response.close_connection = leaving_;
   respond(std::move(response));
 }
 
@@ -194,7 +193,6 @@
 void CallerApi::answer(const CallerAnswer& answer, const http::Responder& respond) const {
   count(answer);
   http::Response response = to_response(answer);
-  response.close_connection = leaving_;
   respond(std::move(response));
 }
 
@@ -230,7 +228,6 @@
   const CallerAnswer refusal = refused(next_request_id(parts_), std::move(error), EarlierSending::kNone);
   http::Response response = to_response(refusal);
   response.status = status;
-  response.close_connection = leaving_;
   respond(std::move(response));
 }
 
@@ -251,7 +248,6 @@
   }
   http::Response response;
   response.body = explained.value().dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  response.close_connection = leaving_;
   respond(std::move(response));
 }
 
--- a/src/proxy/caller_api.hpp
+++ b/src/proxy/caller_api.hpp
@@ -40,8 +40,6 @@
   /// Handles one request. The responder is called once, later or now.
   void handle(http::Request request, http::Responder respond);
 
-  /// From now on every answer closes its connection, so that callers move to other daemons.
-  void set_leaving() { leaving_ = true; }
   /// From now on requests are refused; those in progress go on.
   void refuse_new() { refuses_ = true; }
   [[nodiscard]] std::size_t in_progress() const { return in_progress_; }
@@ -79,7 +77,6 @@
   RequestMetrics& metrics_;
   Readiness readiness_;
   std::size_t in_progress_ = 0;
-  bool leaving_ = false;
   bool refuses_ = false;
 };
 
--- a/src/proxy/daemon.cpp
+++ b/src/proxy/daemon.cpp
@@ -21,6 +21,8 @@
 constexpr core::Duration kDrainPoll = std::chrono::milliseconds(20);
 /// Longest that requests in progress may go on after the grace: the longest deadline of a request and room.
 constexpr core::Duration kDrainRequests = std::chrono::seconds(65);
+/// Longest that callers' connections may take to end once no request is in progress.
+constexpr core::Duration kDrainCallers = std::chrono::seconds(5);
 constexpr core::Duration kDrainConnections = std::chrono::seconds(2);
 constexpr core::Duration kDepartTimeout = std::chrono::seconds(1);
 /// Room for the steps between the waits of a drain.
@@ -208,7 +210,7 @@
   draining_ = true;
   const auto log = logging::logger("proxy");
   log->info("Drain: callers are asked to move to other daemons.");
-  caller_api_.set_leaving();
+  callers_server_->close_after_answers();
   executor_.transactions().refuse_new();
   agent_->set_leaving();
   co_await sleep_for(io_, options_.drain_grace);
@@ -217,11 +219,12 @@
   executor_.transactions().roll_back_idle(core::BootClock::now(), true);
   caller_api_.refuse_new();
   log->info("Drain: new requests are refused; {} are in progress.", caller_api_.in_progress());
+  const core::Instant requests_end = core::BootClock::now() + kDrainRequests;
   co_await wait_until([this] { return caller_api_.in_progress() == 0 && internal_in_progress_ == 0; },
                       kDrainRequests);
-  log->info("Drain: the callers' port closes; {} connections wait to be accepted.",
-            callers_server_->connections_to_accept());
-  callers_server_->stop_accepting();
+  log->info("Drain: the callers' port closes; {} connections wait to be accepted, {} are open.",
+            callers_server_->connections_to_accept(), callers_server_->connections());
+  co_await callers_server_->drain(time_left(requests_end) + kDrainCallers, http::IdleEnd::kRequestTimeout);
   owned_.close();
   co_await wait_until([this] { return owned_.held() == 0; }, kDrainConnections);
   log->info("Drain: {} database connections are left.", owned_.held());
@@ -232,8 +235,8 @@
 }
 
 core::Duration Daemon::drain_limit() const {
-  return options_.drain_grace + options_.drain_transactions + kDrainRequests + kDrainConnections +
-         kDepartTimeout + kDrainAllowance;
+  return options_.drain_grace + options_.drain_transactions + kDrainRequests + kDrainCallers +
+         kDrainConnections + kDepartTimeout + kDrainAllowance;
 }
 
 void Daemon::stop() {
