A proxy that stops follows the transactions that callers began through it, and turns away only what begins

Callers' commits were answered 'unknown' while a proxy stopped: the leads' log shows a commit whose transaction had begun 37 ms before, refused with 'This daemon is being stopped.', right after 'Drain: 0 transactions are open.' Cause: the drain waited for transactions whose database connection the daemon held itself; one that had begun through it and ran at another owner was not counted. And a commit, a question about a key or a write that may have been sent before was turned away as 'unknown', as nobody can say that it has not run. Change: CallerTransactions counts those that began here and are used here; new work is refused first, so that they come to an end; what goes on with earlier work is served until the port closes. A transaction that rests for the drain's grace is not waited for: any daemon goes on with it.

--- a/src/proxy/caller_api.cpp
+++ b/src/proxy/caller_api.cpp
@@ -87,7 +87,8 @@
     refuse(call.error, call.error.kind == core::ErrorKind::kNotFound ? kNotFound : kBadRequest, respond);
     return;
   }
-  if (refuses_) {
+  const bool goes_on = call.in_transaction || call.earlier == EarlierSending::kPossible;
+  if (refuses_ && !goes_on) {
     turn_away({core::ErrorKind::kLeaving, "This daemon is being stopped.",
                "Send the request to another daemon at once.", 1},
               call.earlier, respond);
@@ -134,10 +135,12 @@
                        });
   }
   if (request.path == "/v1/transactions/rollback") {
-    return parsed_call(parse_rollback_request(request.body), EarlierSending::kNone,
-                       [this](core::RequestId id, EndTransactionRequest roll_back) {
-                         return transactions_.roll_back(std::move(id), std::move(roll_back));
-                       });
+    ParsedCall call = parsed_call(parse_rollback_request(request.body), EarlierSending::kNone,
+                                  [this](core::RequestId id, EndTransactionRequest roll_back) {
+                                    return transactions_.roll_back(std::move(id), std::move(roll_back));
+                                  });
+    call.in_transaction = true;
+    return call;
   }
   if (request.path == "/v1/outcomes") {
     return parsed_call(parse_outcome_request(request.body), EarlierSending::kPossible,
@@ -155,11 +158,13 @@
   const bool in_transaction = parsed && !parsed.value().transaction.empty();
   const EarlierSending earlier =
       parsed && !in_transaction ? earlier_sending(parsed.value()) : EarlierSending::kNone;
-  return parsed_call(std::move(parsed), earlier,
-                     [this, in_transaction](core::RequestId id, StatementRequest statement) {
-                       return in_transaction ? transactions_.run(std::move(id), std::move(statement))
-                                             : statements_.run(std::move(id), std::move(statement));
-                     });
+  ParsedCall call = parsed_call(
+      std::move(parsed), earlier, [this, in_transaction](core::RequestId id, StatementRequest statement) {
+        return in_transaction ? transactions_.run(std::move(id), std::move(statement))
+                              : statements_.run(std::move(id), std::move(statement));
+      });
+  call.in_transaction = in_transaction;
+  return call;
 }
 
 void CallerApi::run(core::RequestId id, Flow flow, http::Responder respond) {
--- a/src/proxy/caller_api.hpp
+++ b/src/proxy/caller_api.hpp
@@ -40,7 +40,9 @@
   /// Handles one request. The responder is called once, later or now.
   void handle(http::Request request, http::Responder respond);
 
-  /// From now on requests are refused; those in progress go on.
+  /// From now on work that begins is refused. What goes on with earlier work is served: other requests of a
+  /// transaction, and keys that may have been sent before, of which nobody can truly say that they did not
+  /// run.
   void refuse_new() { refuses_ = true; }
   [[nodiscard]] std::size_t in_progress() const { return in_progress_; }
 
@@ -50,6 +52,7 @@
   /// A call that was read.
   struct ParsedCall {
     Flow flow;  ///< Empty when the call can't be read: see `error`.
+    bool in_transaction = false;
     EarlierSending earlier = EarlierSending::kNone;
     core::Error error;
   };
--- a/src/proxy/daemon.cpp
+++ b/src/proxy/daemon.cpp
@@ -151,6 +151,7 @@
     peers_.tick(now);
     executor_.transactions().roll_back_idle(now, false);
     executor_.transactions().keep_alive_unused(now);
+    transactions_.open_transactions().forget_unused(now - options_.transaction_idle_limit);
     co_await sleep_for(io_, failover::kMonitorInterval);
   }
 }
@@ -214,11 +215,14 @@
   executor_.transactions().refuse_new();
   agent_->set_leaving();
   co_await sleep_for(io_, options_.drain_grace);
-  log->info("Drain: {} transactions are open.", executor_.transactions().open());
-  co_await wait_until([this] { return executor_.transactions().open() == 0; }, options_.drain_transactions);
-  executor_.transactions().roll_back_idle(core::BootClock::now(), true);
   caller_api_.refuse_new();
-  log->info("Drain: new requests are refused; {} are in progress.", caller_api_.in_progress());
+  log->info(
+      "Drain: new work is refused; {} requests are in progress, {} transactions are open here, {} of "
+      "callers.",
+      caller_api_.in_progress(), executor_.transactions().open(), caller_transactions());
+  co_await wait_until([this] { return executor_.transactions().open() == 0 && caller_transactions() == 0; },
+                      options_.drain_transactions);
+  executor_.transactions().roll_back_idle(core::BootClock::now(), true);
   const core::Instant requests_end = core::BootClock::now() + kDrainRequests;
   co_await wait_until([this] { return caller_api_.in_progress() == 0 && internal_in_progress_ == 0; },
                       kDrainRequests);
@@ -234,6 +238,10 @@
   stop();
 }
 
+std::size_t Daemon::caller_transactions() {
+  return transactions_.open_transactions().used_since(core::BootClock::now() - options_.drain_grace);
+}
+
 core::Duration Daemon::drain_limit() const {
   return options_.drain_grace + options_.drain_transactions + kDrainRequests + kDrainCallers +
          kDrainConnections + kDepartTimeout + kDrainAllowance;
--- a/src/proxy/daemon.hpp
+++ b/src/proxy/daemon.hpp
@@ -95,6 +95,8 @@
   /// Answers another daemon's request or ping.
   boost::asio::awaitable<protocol::ForwardReply> serve_peer(protocol::ForwardRequest request);
   boost::asio::awaitable<void> wait_until(std::function<bool()> condition, core::Duration limit);
+  /// Transactions that callers began here and still use here, wherever they run.
+  [[nodiscard]] std::size_t caller_transactions();
   [[nodiscard]] std::string not_ready_reason() const;
   [[nodiscard]] http::Response metrics_response() const;
 
--- a/src/proxy/transaction_flow.cpp
+++ b/src/proxy/transaction_flow.cpp
@@ -52,6 +52,9 @@
       request->reply.position = {};  // Nothing was read or written.
       CallerAnswer told = make_answer(parts_, *request, *answer);
       told.transaction = request->reply.transaction;
+      if (told.outcome == core::Outcome::kDone) {
+        open_.begin(told.transaction, core::BootClock::now());
+      }
       co_return told;
     }
     const core::Duration backoff = std::get<retry::TryAgainStep>(step).backoff;
@@ -161,6 +164,9 @@
 boost::asio::awaitable<AttemptReport> TransactionFlow::attempt_in_transaction(Request request,
                                                                               TransactionAddress address,
                                                                               ForwardRequest forward) {
+  const core::TransactionId transaction = forward.transaction;
+  const bool ends = forward.operation != Operation::kExecute;
+  open_.use(transaction, core::BootClock::now());
   forward.database = address.database;
   forward.term = address.term;
   AttemptReport report;
@@ -168,6 +174,11 @@
   report.term = address.term;
   request->reply =
       co_await parts_.dispatcher.attempt_at(address.owner, std::move(forward), request->deadline);
+  if (ends || request->reply.error.kind == core::ErrorKind::kNotFound) {
+    open_.end(transaction);
+  } else {
+    open_.use(transaction, core::BootClock::now());
+  }
   report.result = retry::classify(request->reply);
   report.error = request->reply.error;
   if (report.error.kind == core::ErrorKind::kConnectionRefused) {
--- a/src/proxy/transaction_flow.hpp
+++ b/src/proxy/transaction_flow.hpp
@@ -13,6 +13,7 @@
 #include "proxy/active_request.hpp"
 #include "proxy/caller_answers.hpp"
 #include "proxy/caller_requests.hpp"
+#include "proxy/caller_transactions.hpp"
 #include "proxy/flow_parts.hpp"
 #include "proxy/transaction_id.hpp"
 
@@ -30,6 +31,9 @@
   boost::asio::awaitable<CallerAnswer> commit(core::RequestId id, EndTransactionRequest commit);
   boost::asio::awaitable<CallerAnswer> roll_back(core::RequestId id, EndTransactionRequest roll_back);
 
+  /// Those that began here and may be open.
+  [[nodiscard]] CallerTransactions& open_transactions() { return open_; }
+
  private:
   using Request = std::shared_ptr<ActiveRequest>;
 
@@ -41,6 +45,7 @@
 
   FlowParts& parts_;
   std::string secret_;
+  CallerTransactions open_;
 };
 
 }  // namespace pipitpond::proxy
