A daemon that stops tells other daemons that what they still pass on was not handled

Change: wire::Server::drain answers the calls that it has begun, drops the others and says goodbye (a new kind of frame), reads on to the peer's end, and lets no new connection in. A channel takes calls that are unanswered at a goodbye for never sent. Used by the proxy, the pooling daemon (250 ms of the part of its grace that is kept for its farewell) and control.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -26,6 +26,8 @@
 constexpr core::Duration kFullDiskRetryAtStart = std::chrono::milliseconds(500);
 constexpr core::Duration kHandOverLimit = std::chrono::seconds(3);
 constexpr core::Duration kFinishLimit = std::chrono::seconds(5);
+/// For telling daemons and other replicas that what they still send here is not handled.
+constexpr core::Duration kFarewellLimit = std::chrono::milliseconds(500);
 constexpr core::Duration kStopPoll = std::chrono::milliseconds(20);
 /// Looks for the applied state, which follows soon after the start, before daemons are told of it.
 constexpr int kLooksForState = 10;
@@ -344,6 +346,7 @@
   co_await hand_over_leadership();
   co_await http_->drain(kFinishLimit, http::IdleEnd::kSilent);
   co_await finish_requests();
+  co_await wire_->drain(kFarewellLimit);
   if (platform_) {
     platform_->stop();
   }
--- a/src/pooling/daemon.cpp
+++ b/src/pooling/daemon.cpp
@@ -25,6 +25,8 @@
 constexpr int kTransactionsShare = 2;
 /// Kept back from the grace for saying farewell.
 constexpr core::Duration kFarewell = std::chrono::milliseconds(600);
+/// For telling other daemons that what they still pass on here is not run; a part of kFarewell.
+constexpr core::Duration kDrainPeers = std::chrono::milliseconds(250);
 constexpr core::Duration kDrainPoll = std::chrono::milliseconds(50);
 /// A session of which nothing was asked for so long is closed at a planned stop.
 constexpr core::Duration kQuietBeforeClose = std::chrono::milliseconds(100);
@@ -244,6 +246,7 @@
   co_await close_quiet_sessions(give_up);
   log->info("event=drain_ended sessions={} forwarded={}", listener_->sessions(), forwards_.in_progress());
   access_.stop();
+  co_await peers_->drain(kDrainPeers);
   agent_->set_leaving();
   backends_.close();
   co_await agent_->depart(kFarewell / 2);
--- a/src/proxy/daemon.cpp
+++ b/src/proxy/daemon.cpp
@@ -23,6 +23,8 @@
 constexpr core::Duration kDrainRequests = std::chrono::seconds(65);
 /// Longest that callers' connections may take to end once no request is in progress.
 constexpr core::Duration kDrainCallers = std::chrono::seconds(5);
+/// Longest that other daemons may take to learn that what they still pass on here is not run.
+constexpr core::Duration kDrainPeers = std::chrono::seconds(2);
 constexpr core::Duration kDrainConnections = std::chrono::seconds(2);
 constexpr core::Duration kDepartTimeout = std::chrono::seconds(1);
 /// Room for the steps between the waits of a drain.
@@ -229,6 +231,7 @@
   log->info("Drain: the callers' port closes; {} connections wait to be accepted, {} are open.",
             callers_server_->connections_to_accept(), callers_server_->connections());
   co_await callers_server_->drain(time_left(requests_end) + kDrainCallers, http::IdleEnd::kRequestTimeout);
+  co_await internal_server_->drain(kDrainPeers);
   owned_.close();
   co_await wait_until([this] { return owned_.held() == 0; }, kDrainConnections);
   log->info("Drain: {} database connections are left.", owned_.held());
@@ -243,7 +246,7 @@
 }
 
 core::Duration Daemon::drain_limit() const {
-  return options_.drain_grace + options_.drain_transactions + kDrainRequests + kDrainCallers +
+  return options_.drain_grace + options_.drain_transactions + kDrainRequests + kDrainCallers + kDrainPeers +
          kDrainConnections + kDepartTimeout + kDrainAllowance;
 }
 
--- a/src/wire/channel.cpp
+++ b/src/wire/channel.cpp
@@ -287,6 +287,10 @@
 
   void take(Frame frame) {
     awaiting_pong_ = false;  // Any frame shows that the peer lives.
+    if (frame.kind == FrameKind::kGoodbye) {
+      refuse_unanswered();
+      return;
+    }
     if (frame.kind == FrameKind::kNotify) {
       if (push_) {
         push_(frame.type, std::move(frame.body));
@@ -349,6 +353,16 @@
     }
   }
 
+  /// The peer stops and has handled none of the calls that it has not answered.
+  void refuse_unanswered() {
+    for (const auto& [id, pending] : pending_) {
+      if (!pending->result) {
+        pending->finish(refused("it is being stopped"));
+      }
+    }
+    lose(stream_);
+  }
+
   core::Result<std::string> refused(const std::string& why) const {
     return core::fail(ErrorKind::kConnectionRefused,
                       "Nothing was sent to " + to_string(peer_) + ": " + why + ".",
--- a/src/wire/frame.hpp
+++ b/src/wire/frame.hpp
@@ -22,6 +22,7 @@
   kNotify = 4,   ///< One-way message.
   kPing = 5,     ///< Wants a kPong at once: is the peer's process alive?
   kPong = 6,     ///< Answer to kPing.
+  kGoodbye = 7,  ///< The server stops: calls that it has not answered on this connection were not handled.
 };
 
 /// One unit of the protocol. Fields past the known ones are ignored, so that they can be added later.
--- a/src/wire/frame_stream.cpp
+++ b/src/wire/frame_stream.cpp
@@ -64,7 +64,7 @@
 }
 
 bool FrameStream::send(const Frame& frame) {
-  if (!socket_.is_open()) {
+  if (!socket_.is_open() || ends_) {
     return false;
   }
   std::string bytes = encode(frame);
@@ -95,10 +95,24 @@
                         self->close();
                       } else if (!self->queued_.empty()) {
                         self->write_queued();
+                      } else if (self->ends_) {
+                        self->end_stream();
                       }
                     });
 }
 
+void FrameStream::end() {
+  ends_ = true;
+  if (writing_.empty()) {
+    end_stream();
+  }
+}
+
+void FrameStream::end_stream() {
+  boost::system::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void FrameStream::close() {
   boost::system::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_both, ignored);
--- a/src/wire/frame_stream.hpp
+++ b/src/wire/frame_stream.hpp
@@ -36,6 +36,8 @@
   boost::asio::awaitable<std::optional<Frame>> read();
   /// Queues a frame. False when the connection is closed or its queue is full: the frame will never be sent.
   bool send(const Frame& frame);
+  /// Ends this side of the stream once the queued frames are written. Reading goes on.
+  void end();
   /// Closes at once; queued frames are lost.
   void close();
 
@@ -43,6 +45,7 @@
   static constexpr std::size_t kChunkBytes = 16UL * 1024;
 
   void write_queued();
+  void end_stream();
   void set_socket_options();
 
   boost::asio::ip::tcp::socket socket_;
@@ -52,6 +55,7 @@
   std::vector<std::string> queued_;
   std::vector<std::string> writing_;
   std::size_t waiting_bytes_ = 0;  ///< In queued_ and writing_.
+  bool ends_ = false;              ///< Nothing more is queued.
 };
 
 }  // namespace pipitpond::wire
--- a/src/wire/server.cpp
+++ b/src/wire/server.cpp
@@ -1,5 +1,6 @@
 #include "wire/server.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -12,6 +13,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "net/listening_socket.hpp"
 #include "wire/codec.hpp"
 #include "wire/frame_stream.hpp"
 
@@ -27,6 +29,7 @@
 constexpr std::uint32_t kOverloadRetryMillis = 100;
 /// Pause after a failed accept, which mostly means that file descriptors ran out.
 constexpr auto kAcceptPause = std::chrono::milliseconds(100);
+constexpr core::Duration kDrainPoll = std::chrono::milliseconds(10);
 
 /// One accepted connection.
 struct Peer {
@@ -62,6 +65,22 @@
     }
   }
 
+  static asio::awaitable<void> drain(std::shared_ptr<ServerState> self, core::Duration limit) {
+    const core::Instant begun = core::BootClock::now();
+    const core::Instant handshakes_end = begun + std::min(limit, net::kHandshakeTime);
+    net::drop_new_connections(self->acceptor_.native_handle());
+    self->draining_ = true;
+    for (const auto& [id, peer] : self->peers_) {
+      self->say_goodbye_when_answered(peer);
+    }
+    while (core::BootClock::now() < handshakes_end ||
+           (!self->peers_.empty() && core::BootClock::now() < begun + limit)) {
+      co_await pause(self, kDrainPoll);
+    }
+    error_code ignored;
+    self->acceptor_.close(ignored);
+  }
+
   [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   [[nodiscard]] const ByteCounters& counters() const { return *counters_; }
 
@@ -77,7 +96,7 @@
   using PeerPointer = std::shared_ptr<Peer>;
 
   static asio::awaitable<void> accept(Self self) {
-    while (!self->stopped_) {
+    while (!self->stopped_ && self->acceptor_.is_open()) {
       error_code error;
       tcp::socket socket =
           co_await self->acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
@@ -93,11 +112,26 @@
     }
   }
 
+  static asio::awaitable<void> pause(Self self, core::Duration duration) {
+    asio::steady_timer timer(self->io_, duration);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
+  /// The peer's calls that were answered are answered before the goodbye. What it still sends is read and
+  /// dropped: a close with unread bytes would reset the connection, and the reset could overtake the goodbye.
+  void say_goodbye_when_answered(const PeerPointer& peer) {
+    if (draining_ && peer->calls_in_progress == 0) {
+      peer->stream->send({FrameKind::kGoodbye, 0, MessageType::kRaft, {}});
+      peer->stream->end();
+    }
+  }
+
   void add(tcp::socket socket) {
     auto peer = std::make_shared<Peer>();
     peer->id = ++last_peer_;
     peer->stream = std::make_shared<FrameStream>(std::move(socket), counters_);
     peers_.emplace(peer->id, peer);
+    say_goodbye_when_answered(peer);
     asio::co_spawn(io_, serve(shared_from_this(), peer), asio::detached);
   }
 
@@ -117,10 +151,13 @@
   }
 
   void take(const PeerPointer& peer, Frame frame) {
+    if (draining_) {
+      return;
+    }
     if (frame.kind == FrameKind::kPing) {
       peer->stream->send({FrameKind::kPong, frame.call, frame.type, {}});
     } else if (frame.kind == FrameKind::kNotify) {
-      asio::co_spawn(io_, handle(shared_from_this(), peer, std::move(frame)), asio::detached);
+      begin(peer, std::move(frame));
     } else if (frame.kind != FrameKind::kCall) {
       peer->stream->close();  // No client sends anything else.
     } else if (peer->calls_in_progress >= kMaxCallsInProgress) {
@@ -129,15 +166,18 @@
                       "Retry after a moment.", kOverloadRetryMillis};
       answer(peer, frame, core::Result<std::string>(core::outcome::failure(overload)));
     } else {
+      begin(peer, std::move(frame));
+    }
+  }
+
+  void begin(const PeerPointer& peer, Frame frame) {
+    if (handler_) {
+      ++peer->calls_in_progress;
       asio::co_spawn(io_, handle(shared_from_this(), peer, std::move(frame)), asio::detached);
     }
   }
 
   static asio::awaitable<void> handle(Self self, PeerPointer peer, Frame frame) {
-    if (!self->handler_) {
-      co_return;
-    }
-    ++peer->calls_in_progress;
     core::Result<std::string> result = core::fail(core::ErrorKind::kInternal, "The handler failed.",
                                                   "See the log of the machine that handled the call.");
     try {
@@ -152,6 +192,7 @@
     if (frame.kind == FrameKind::kCall) {
       answer(peer, frame, std::move(result));
     }
+    self->say_goodbye_when_answered(peer);
   }
 
   static void answer(const PeerPointer& peer, const Frame& call, core::Result<std::string> result) {
@@ -182,6 +223,7 @@
   std::shared_ptr<ByteCounters> counters_ = std::make_shared<ByteCounters>();
   std::unordered_map<PeerId, PeerPointer> peers_;
   PeerId last_peer_ = 0;
+  bool draining_ = false;
   bool stopped_ = false;
 };
 
@@ -196,6 +238,7 @@
   void notify(PeerId peer, MessageType type, std::string body) override {
     state_->notify(peer, type, std::move(body));
   }
+  asio::awaitable<void> drain(core::Duration limit) override { return ServerState::drain(state_, limit); }
   [[nodiscard]] std::uint64_t bytes_received() const override { return state_->counters().received; }
   [[nodiscard]] std::uint64_t bytes_sent() const override { return state_->counters().sent; }
 
--- a/src/wire/server.hpp
+++ b/src/wire/server.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 
+#include "core/clock.hpp"
 #include "core/error.hpp"
 #include "wire/message_type.hpp"
 
@@ -43,6 +44,10 @@
   [[nodiscard]] virtual std::uint16_t port() const = 0;
   /// Sends a one-way message to one connected peer; dropped if it is gone or its queue is full.
   virtual void notify(PeerId peer, MessageType type, std::string body) = 0;
+  /// Ends the server so that no caller is left in doubt: calls in progress are answered, then each peer is
+  /// told that all others were not handled. Returns when the peers have closed their connections, after
+  /// `limit` at the latest.
+  virtual boost::asio::awaitable<void> drain(core::Duration limit) = 0;
   /// Bytes received and sent since start, frames included.
   [[nodiscard]] virtual std::uint64_t bytes_received() const = 0;
   [[nodiscard]] virtual std::uint64_t bytes_sent() const = 0;
--- a/tests/wire/channel_test.cpp
+++ b/tests/wire/channel_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -231,5 +233,41 @@
   EXPECT_TRUE(run_until(io, [&] { return closed == 1; }));
 }
 
+// A server that stops answers what it began to handle and tells its peers that the rest was not handled.
+// Before, the process ended while calls lay unread in its sockets: their callers met a broken connection and
+// could not tell whether a write had run, so that a planned stop of one daemon made writes "unknown" that had
+// come in through others.
+TEST_F(ChannelTest, AServerThatStopsLeavesNoCallInDoubt) {
+  const auto channel = connect();
+  const auto begun = testing::start(io, channel->call(MessageType::kHeartbeat, "begun", seconds(10)));
+  ASSERT_TRUE(run_until(io, [&] { return bodies.size() == 1; }));
+  bool drained = false;
+  asio::co_spawn(io, server->drain(seconds(20)), [&](const std::exception_ptr& failure) {
+    EXPECT_FALSE(failure);
+    drained = true;
+  });
+  ASSERT_FALSE(run_until(
+      io, [&] { return drained; }, milliseconds(50)));
+  const auto late = testing::start(io, channel->call(MessageType::kFetch, "late", seconds(10)));
+  ASSERT_FALSE(run_until(
+      io, [&] { return late->done(); }, milliseconds(50)));
+  release.cancel();
+  ASSERT_TRUE(run_until(io, [&] { return begun->done() && late->done(); }));
+  EXPECT_EQ(begun->value->value(), "begun");
+  ASSERT_FALSE(late->value->has_value());
+  EXPECT_EQ(late->value->error().kind, ErrorKind::kConnectionRefused);
+  EXPECT_EQ(bodies.size(), 1U);
+  EXPECT_TRUE(run_until(io, [&] { return drained; }));
+}
+
+TEST_F(ChannelTest, APeerThatConnectsToAServerThatStopsIsRefused) {
+  asio::co_spawn(io, server->drain(seconds(20)), asio::detached);
+  const auto channel = connect();
+  const Answer answer = call(*channel, MessageType::kFetch, "new", seconds(5));
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_EQ(answer.error().kind, ErrorKind::kConnectionRefused);
+  EXPECT_TRUE(bodies.empty());
+}
+
 }  // namespace
 }  // namespace pipitpond::wire
