--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -215,6 +215,20 @@
   EXPECT_TRUE(platform_stage::values_of(primary().log()).contains("last"));
 }
 
+// A stopping proxy ends sessions of which nothing is asked. A statement that was on its way met a reset, and
+// its caller could not tell whether a write had run. Now the end says that nothing asked later runs, and the
+// statement reads it.
+TEST_F(PlatformTest, AStatementThatMeetsTheEndOfItsSessionIsToldThatItDidNotRun) {
+  auto session = fleet_.caller(0, "writes");
+  ASSERT_TRUE(session->query("READ a").ok());
+  fleet_.proxy(0).signal(SIGTERM);
+  fleet_.pause(milliseconds(500));  // Longer than a session must rest to be ended.
+  const Answer late = session->query("WRITE late x");
+  EXPECT_TRUE(late.error.starts_with("BUSY")) << late.error;
+  EXPECT_EQ(fleet_.proxy(0).wait(std::chrono::seconds(10)), 0);
+  EXPECT_FALSE(platform_stage::values_of(primary().log()).contains("late"));
+}
+
 TEST_F(PlatformTest, ASessionThatNeverRestsIsNotServedToTheEndOfAStop) {
   // Bench, bmsac-archive incident inc-9f13: a statement taken 5 s after SIGTERM was cut off.
   auto session = fleet_.caller(0, "writes");
