A promotion makes the stand-in's replicas follow the new primary: a receipt for the old one lost acknowledged commits

Cause, from lines added to the stand-in there (trial): 'promote plates-1 term 2 end 0.0' at .081 s, 'ack by plates-0 term 1 position 1.1 replica plates-2' at .082 s, the old primary within reach since .031 s: the promotion ended the other replica's hold without making it follow the new primary, so that the old one's waiting commits were received and acknowledged. Ruled out: too few members counted, a hold forgotten by a restart (all three members there, both replicas held, none started anew).

--- a/tools/platform_stage/database.hpp
+++ b/tools/platform_stage/database.hpp
@@ -76,6 +76,8 @@
   [[nodiscard]] bool receives() const {
     return running_ && !dark_ && !cut_off_ && held_term_ == 0 && !primary_;
   }
+  /// Held, and within reach of the others.
+  [[nodiscard]] bool is_held_replica() const { return linked() && held_term_ != 0 && !primary_; }
   [[nodiscard]] bool linked() const { return running_ && !dark_ && !cut_off_; }
   [[nodiscard]] bool running() const { return running_; }
   [[nodiscard]] bool primary() const { return primary_; }
--- a/tools/platform_stage/service.cpp
+++ b/tools/platform_stage/service.cpp
@@ -69,8 +69,10 @@
 /// Replicas receive what their primary holds; a commit is acknowledged once one of them has it.
 void Service::catch_up(Database& primary) {
   for (const auto& database : databases_) {
-    const bool follows = database.get() != &primary && primary.linked() && database->receives() &&
-                         database->term() <= primary.term();
+    const bool newer = primary.term() > database->term();
+    const bool receives = database->receives() || (newer && database->is_held_replica());
+    const bool follows =
+        database.get() != &primary && primary.linked() && receives && database->term() <= primary.term();
     if (!follows) {
       continue;
     }
@@ -161,8 +163,10 @@
   for (const auto& database : databases_) {
     if (database->options().id == id && database->running()) {
       database->become_primary(newest + 1);
-    } else if (!database->primary()) {
-      database->follow(database->term());  // A promotion ends all holds.
+    } else if (!database->primary() && database->linked()) {
+      // The promotion ends its hold, and it receives from the new primary only. One that can't be reached
+      // stays held until it hears of the new primary.
+      database->follow(newest + 1);
     }
   }
 }
