--- a/tests/fleet/drain_test.cpp
+++ b/tests/fleet/drain_test.cpp
@@ -76,13 +76,13 @@
   }
 };
 
-// What happened: at times one request was cut while the proxy stopped, more often on a busy machine. A read met
-// "Connection reset by peer" after it had been sent in full; a commit was answered "unknown".
-// Why: closing the port reset the connections in its queue, whose callers had sent their requests; and a commit was
-// turned away whose transaction had begun through the proxy 37 ms before and ran at another owner, for the proxy waited
-// only for transactions at its own databases.
-// What showed it: "the callers' port closes; 1 connections wait to be accepted" at the very moment at which the read
-// began, 2000 ms after the drain, while no accepted connection was open at the end.
+// What happened: at times one request was cut while the proxy stopped, more often on a busy machine. A read
+// met "Connection reset by peer" after it had been sent in full; a commit was answered "unknown". Why:
+// closing the port reset the connections in its queue, whose callers had sent their requests; and a commit
+// was turned away whose transaction had begun through the proxy 37 ms before and ran at another owner, for
+// the proxy waited only for transactions at its own databases. What showed it: "the callers' port closes; 1
+// connections wait to be accepted" at the very moment at which the read began, 2000 ms after the drain, while
+// no accepted connection was open at the end.
 TEST_F(DrainTest, AProxyThatIsStoppedCutsNoRequest) {
   JudgedLoad load(fleet());
   ASSERT_TRUE(load.wait_for_requests(kSomeRequests));
