--- a/platform/line_stream.cpp
+++ b/src/net/line_stream.cpp
@@ -1,4 +1,4 @@
-#include "platform/line_stream.hpp"
+#include "net/line_stream.hpp"
 
 #include <sys/socket.h>
 
@@ -10,9 +10,8 @@
 #include <cerrno>
 
 #include "net/lingering_connection.hpp"
-#include "platform/line_codec.hpp"
 
-namespace pipitpond::platform {
+namespace pipitpond::net {
 namespace {
 
 namespace asio = boost::asio;
@@ -130,9 +129,9 @@
 void LineStream::end(std::string last_lines) {
   error_code ignored;
   shared_->socket.cancel(ignored);
-  const auto connection = std::make_shared<net::LingeringConnection>(
+  const auto connection = std::make_shared<LingeringConnection>(
       std::move(shared_->socket), std::move(last_lines),
-      [](const std::shared_ptr<net::LingeringConnection>& /*connection*/) {});
+      [](const std::shared_ptr<LingeringConnection>& /*connection*/) {});
   connection->start();
 }
 
@@ -145,4 +144,4 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-}  // namespace pipitpond::platform
+}  // namespace pipitpond::net
--- a/platform/line_stream.hpp
+++ b/src/net/line_stream.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -13,7 +14,10 @@
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 
-namespace pipitpond::platform {
+namespace pipitpond::net {
+
+/// Longest line in bytes, its end included.
+inline constexpr std::size_t kMaxLineBytes = 1024UL * 1024;
 
 /// A connection. One read and one write at a time.
 class LineStream {
@@ -60,4 +64,4 @@
   std::string buffer_;
 };
 
-}  // namespace pipitpond::platform
+}  // namespace pipitpond::net
--- a/tests/platform/stage_test.cpp
+++ b/tests/platform/stage_test.cpp
@@ -16,7 +16,7 @@
 #include <string>
 
 #include "http/client.hpp"
-#include "platform/line_stream.hpp"
+#include "net/line_stream.hpp"
 #include "support/coroutine.hpp"
 
 namespace pipitpond::platform_stage {
@@ -32,11 +32,11 @@
 /// All lines up to READY; what came until the connection ended, if it did.
 boost::asio::awaitable<std::string> ask(boost::asio::io_context& io, core::Endpoint database,
                                         std::string service, std::string query) {
-  auto connected = co_await platform::LineStream::connect(io, std::move(database), kCallLimit);
+  auto connected = co_await net::LineStream::connect(io, std::move(database), kCallLimit);
   if (!connected) {
     co_return "no connection";
   }
-  platform::LineStream& lines = *connected.value();
+  net::LineStream& lines = *connected.value();
   (void)co_await lines.write("START " + service + " test\r\n");
   (void)co_await lines.read_line();
   (void)co_await lines.write("QUERY " + query + "\r\n");
--- a/tests/platform_support/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -52,7 +52,7 @@
 }
 
 awaitable<bool> Caller::open_session(std::string database) {
-  auto stream = co_await LineStream::connect(io_, proxy_, kCallTimeout);
+  auto stream = co_await net::LineStream::connect(io_, proxy_, kCallTimeout);
   if (!stream) {
     co_return false;
   }
@@ -105,7 +105,7 @@
 }
 
 awaitable<std::string> Caller::exchange_raw(std::string bytes) {
-  auto stream = co_await LineStream::connect(io_, proxy_, kCallTimeout);
+  auto stream = co_await net::LineStream::connect(io_, proxy_, kCallTimeout);
   if (!stream) {
     co_return std::string();
   }
--- a/tests/platform_support/platform_fleet.hpp
+++ b/tests/platform_support/platform_fleet.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/line_stream.hpp"
+#include "net/line_stream.hpp"
 #include "platform_stage/service.hpp"
 #include "process/child.hpp"
 
@@ -48,7 +48,7 @@
   boost::asio::io_context& io_;
   core::Endpoint proxy_;
   std::string last_request_;
-  std::unique_ptr<LineStream> lines_;
+  std::unique_ptr<net::LineStream> lines_;
 };
 
 /// The fleet.
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -60,7 +60,7 @@
 
 awaitable<bool> SoakCaller::open(Route route) {
   const core::Endpoint proxy = proxies_.at(draw(proxies_.size()));
-  auto connected = co_await platform::LineStream::connect(io_, proxy, kAnswerLimit);
+  auto connected = co_await net::LineStream::connect(io_, proxy, kAnswerLimit);
   if (!connected) {
     co_return false;
   }
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "core/endpoint.hpp"
-#include "platform/line_stream.hpp"
+#include "net/line_stream.hpp"
 #include "soak/history.hpp"
 
 namespace pipitpond::soak {
@@ -44,7 +44,7 @@
   std::vector<core::Endpoint> proxies_;
   std::uint64_t number_;
   std::mt19937_64 random_;
-  std::unique_ptr<platform::LineStream> lines_;
+  std::unique_ptr<net::LineStream> lines_;
   std::uint64_t session_ = 0;
   std::uint64_t asked_ = 0;
   std::string state_;  ///< Of the last answer: I, T or E.
--- a/tools/platform_stage/database.cpp
+++ b/tools/platform_stage/database.cpp
@@ -46,7 +46,7 @@
     bool writes = false;
   };
 
-  platform::LineStream lines;
+  net::LineStream lines;
   std::map<std::string, std::string> values;
   std::map<std::string, Shape> prepared;
   bool in_transaction = false;
--- a/tools/platform_stage/database.hpp
+++ b/tools/platform_stage/database.hpp
@@ -17,7 +17,7 @@
 
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
-#include "platform/line_stream.hpp"
+#include "net/line_stream.hpp"
 #include "platform_stage/log.hpp"
 
 namespace pipitpond::platform_stage {
