A listener whose new connections can't be held off says so

Found on reading the change again: the refusal of the socket filter was an error that nobody learned of, while it brings the resets back that the filter is there against.

--- a/src/net/listening_socket.cpp
+++ b/src/net/listening_socket.cpp
@@ -6,8 +6,11 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <cstdint>
 
+#include "logging/logging.hpp"
+
 namespace pipitpond::net {
 
 std::size_t waiting_in_queue(int listening_socket) {
@@ -33,7 +36,12 @@
       BPF_STMT(BPF_RET | BPF_K, kDropPacket),
   }};
   const sock_fprog filter{static_cast<std::uint16_t>(program.size()), program.data()};
-  return ::setsockopt(listening_socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter) == 0;
+  if (::setsockopt(listening_socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter) != 0) {
+    logging::logger("net")->warn(
+        "New connections can't be held off (errno {}): the port's end may reset some.", errno);
+    return false;
+  }
+  return true;
 }
 
 }  // namespace pipitpond::net
