The transactions that a stop follows are bounded by a constant

At 10,000 no further one is followed. The new case of CallerTransactions fails without the limit (10,001 followed).

--- a/src/proxy/caller_transactions.cpp
+++ b/src/proxy/caller_transactions.cpp
@@ -4,6 +4,12 @@
 
 namespace pipitpond::proxy {
 
+void CallerTransactions::begin(const core::TransactionId& id, core::Instant now) {
+  if (last_used_.size() < kMaxFollowedTransactions) {
+    last_used_[id] = now;
+  }
+}
+
 void CallerTransactions::use(const core::TransactionId& id, core::Instant now) {
   const auto found = last_used_.find(id);
   if (found != last_used_.end()) {
--- a/src/proxy/caller_transactions.hpp
+++ b/src/proxy/caller_transactions.hpp
@@ -10,12 +10,14 @@
 
 namespace pipitpond::proxy {
 
-/// Bounded by the connections of the databases, since each open transaction holds one, and by
-/// `forget_unused`.
+/// Transactions that are followed at most; a stop does not wait for those beyond it.
+inline constexpr std::size_t kMaxFollowedTransactions = 10'000;
+
+/// Those that callers leave open are forgotten by `forget_unused`.
 class CallerTransactions {
  public:
   /// A transaction began.
-  void begin(const core::TransactionId& id, core::Instant now) { last_used_[id] = now; }
+  void begin(const core::TransactionId& id, core::Instant now);
   /// A request names it. Those that began through another daemon are not followed.
   void use(const core::TransactionId& id, core::Instant now);
   /// It was committed, rolled back, or is not known to its owner any more.
--- a/tests/proxy/caller_transactions_test.cpp
+++ b/tests/proxy/caller_transactions_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+
 namespace pipitpond::proxy {
 namespace {
 
@@ -31,5 +33,13 @@
   EXPECT_EQ(transactions.used_since(kStart), 0U);
 }
 
+TEST(CallerTransactions, NoMoreAreFollowedThanTheLimit) {
+  CallerTransactions transactions;
+  for (std::size_t number = 0; number <= kMaxFollowedTransactions; ++number) {
+    transactions.begin(core::TransactionId(std::to_string(number)), kStart);
+  }
+  EXPECT_EQ(transactions.used_since(kStart), kMaxFollowedTransactions);
+}
+
 }  // namespace
 }  // namespace pipitpond::proxy
