A channel ends its connection at the goodbye in the loop that reads it

Found on reading the change again: a second goodbye on one connection would have closed a stream that is not there any more. No server sends two.

--- a/src/wire/channel.cpp
+++ b/src/wire/channel.cpp
@@ -251,6 +251,10 @@
       if (!frame) {
         break;
       }
+      if (frame->kind == FrameKind::kGoodbye) {
+        self->refuse_unanswered();
+        break;
+      }
       self->take(std::move(*frame));
     }
     self->lose(stream);
@@ -287,10 +291,6 @@
 
   void take(Frame frame) {
     awaiting_pong_ = false;  // Any frame shows that the peer lives.
-    if (frame.kind == FrameKind::kGoodbye) {
-      refuse_unanswered();
-      return;
-    }
     if (frame.kind == FrameKind::kNotify) {
       if (push_) {
         push_(frame.type, std::move(frame.body));
@@ -360,7 +360,6 @@
         pending->finish(refused("it is being stopped"));
       }
     }
-    lose(stream_);
   }
 
   core::Result<std::string> refused(const std::string& why) const {
