--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -31,6 +31,7 @@
 /// A proxy that is asked for a write until it serves one.
 struct ProxyProbe {
   std::size_t proxy = 0;
+  bool ended = false;
   std::optional<core::Instant> served;
   milliseconds write_took{0};
   int sessions_refused = 0;
@@ -107,11 +108,14 @@
       boost::asio::co_spawn(fleet_.io(), probe(probes_[number], returned_ + kRecoverLimit),
                             boost::asio::detached);
     }
-    const auto all_served = [this] {
-      return std::all_of(probes_.begin(), probes_.end(),
-                         [](const ProxyProbe& one) { return one.served.has_value(); });
-    };
-    return fleet_.wait(all_served, kRecoverLimit);
+    const core::Instant end = returned_ + kRecoverLimit;
+    for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
+      const auto left = std::chrono::duration_cast<milliseconds>(end - core::BootClock::now());
+      if (!fleet_.wait([&] { return serves(number); }, std::max(left, milliseconds(1)))) {
+        return false;
+      }
+    }
+    return fleet_.wait([this] { return probes_have_ended(); }) && all_probes_were_served();
   }
 
   bool stop_callers() {
@@ -182,14 +186,24 @@
     return caller != nullptr && caller->query("WRITE probe probe/x").ok();
   }
 
-  /// Asks one proxy for a write until it serves one. All proxies are asked at the same time: one after the
-  /// other, the times of their writes would add up, and 24 proxies that each serve in 0.4 s would seem to be
-  /// late.
+  [[nodiscard]] bool probes_have_ended() const {
+    return std::all_of(probes_.begin(), probes_.end(), [](const ProxyProbe& one) { return one.ended; });
+  }
+
+  [[nodiscard]] bool all_probes_were_served() const {
+    const core::Instant end = returned_ + kRecoverLimit;
+    return std::all_of(probes_.begin(), probes_.end(),
+                       [end](const ProxyProbe& one) { return one.served && *one.served <= end; });
+  }
+
+  /// Asks one proxy for a write until it serves one, beside the other proxies: tells a proxy that serves
+  /// nobody from one that was asked late.
   boost::asio::awaitable<void> probe(ProxyProbe& probe, core::Instant end) {
     while (!probe.served && core::BootClock::now() < end) {
       co_await try_write(probe);
       co_await pooling::pause_for(fleet_.io(), kProbePause);
     }
+    probe.ended = true;
   }
 
   boost::asio::awaitable<void> try_write(ProxyProbe& probe) {
