--- a/tests/raft/membership_test.cpp
+++ b/tests/raft/membership_test.cpp
@@ -207,6 +207,47 @@
   EXPECT_TRUE(cluster.commit("b"));
 }
 
+/// Hands leadership to another replica.
+void change_leader(Cluster& cluster) {
+  const auto before = cluster.elect().config().id;
+  ASSERT_TRUE(cluster.elect().transfer_leadership(cluster.now).has_value());
+  ASSERT_TRUE(cluster.run_until([&] {
+    Node* leader = cluster.leader();
+    return leader != nullptr && leader->config().id != before && leader->leads_with_committed_term();
+  }));
+}
+
+/// Three of five machines are replaced by empty ones at new addresses, one each `interval`, and a fourth
+/// loses its disk: true when the four that are left elect a leader.
+bool outlives_three_replacements(milliseconds interval, bool leaders_change) {
+  Cluster cluster(5, true);
+  std::vector<core::ControlId> running = {replica(1), replica(2), replica(3), replica(4), replica(5)};
+  for (int number = 6; number <= 8; ++number) {
+    const auto end = cluster.now + interval;
+    const auto leader = cluster.elect().config().id;
+    const auto gone =
+        std::find_if(running.begin(), running.end(), [&](const auto& id) { return id != leader; });
+    cluster.stop(*gone);
+    running.erase(gone);
+    if (!joins(cluster, replica(number))) return false;
+    running.push_back(replica(number));
+    cluster.run_for(interval / 2);
+    if (leaders_change) change_leader(cluster);
+    cluster.run_for(std::chrono::duration_cast<milliseconds>(end - cluster.now));
+  }
+  cluster.stop(cluster.elect().config().id);
+  return cluster.run_until([&] { return cluster.leader() != nullptr; });
+}
+
+TEST(OpenMembership, MachinesReplacedInARowDoNotAddUp) {
+  EXPECT_TRUE(outlives_three_replacements(milliseconds(4'000), false));
+}
+
+TEST(OpenMembership, MachinesReplacedWhileLeadersChangeDoNotAddUp) {
+  EXPECT_TRUE(outlives_three_replacements(milliseconds(9'000), false));
+  EXPECT_TRUE(outlives_three_replacements(milliseconds(9'000), true));
+}
+
 TEST(OpenMembership, ASilentVoterStaysWhileTheOthersNeedIt) {
   Cluster cluster(3, true);
   ASSERT_TRUE(cluster.commit("a"));
