Control says who asks to join, votes and is removed, and how a candidacy was lost

On-call could not tell why a machine of control with an empty disk never came back: no line said that it asks, of whom, that nobody answers, who votes, who is removed and why, or who leaves a candidate unanswered. New: membership_decided (the leader's reason, voters, voters in contact), members_in_force (each replica), asks_to_join (once a second: whom, for how long), the last lost candidacy in each candidacy line, and the gauges pipitpond_control_voters and _voters_in_contact. Asking to join moves from ControlServer into control::Joiner.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -19,9 +19,6 @@
 
 /// Between looks at whether all other members are connected.
 constexpr core::Duration kConnectInterval = std::chrono::milliseconds(50);
-/// Between requests to join: a third of the shortest election timeout, so that a leader that is just elected
-/// hears one soon. A request is some 100 bytes to each known replica.
-constexpr core::Duration kJoinInterval = std::chrono::milliseconds(100);
 /// Between attempts to start on a disk without room.
 constexpr core::Duration kFullDiskRetryAtStart = std::chrono::milliseconds(500);
 constexpr core::Duration kHandOverLimit = std::chrono::seconds(3);
@@ -109,7 +106,7 @@
   if (platform_) {
     platform_->start();
   }
-  boost::asio::co_spawn(io_, ask_to_join(), boost::asio::detached);
+  boost::asio::co_spawn(io_, joiner_->run(), boost::asio::detached);
   boost::asio::co_spawn(io_, announce(), boost::asio::detached);
   boost::asio::co_spawn(io_, keep_members_connected(), boost::asio::detached);
   co_return core::outcome::success();
@@ -148,6 +145,7 @@
   });
   announcer_ = std::make_unique<Announcer>(io_, options_.self().internal,
                                            [this] { return daemons_->silent_daemons(); });
+  joiner_ = std::make_unique<Joiner>(io_, replica_->node(), peers_, options_.self(), options_.peers);
   if (options_.platform) {
     platform_ = std::make_unique<PlatformWatch>(io_, *options_.platform, options_.platform_interval,
                                                 *replica_, *duties_);
@@ -298,24 +296,6 @@
   co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
 }
 
-awaitable<void> ControlServer::ask_to_join() {
-  const raft::Node& node = replica_->node();
-  // By the addresses at which others reach it: it stands in for the member that had them.
-  const Peer place = options_.self();
-  const raft::Member self{node.config().id, place.internal, place.operators, raft::MemberRole::kLearner, {}};
-  while (!stopping_) {
-    if (node.wants_to_join()) {
-      const raft::Message request = node.join_request(self);
-      for (const Peer& peer : options_.peers) {
-        if (peer.name != options_.name) {
-          peers_.send(peer.internal, request);
-        }
-      }
-    }
-    co_await pause(kJoinInterval);
-  }
-}
-
 awaitable<void> ControlServer::announce() {
   for (int look = 0; look < kLooksForState && replica_->machine().configuration().revision == 0; ++look) {
     co_await pause(kStopPoll);
@@ -342,6 +322,7 @@
 awaitable<void> ControlServer::stop() {
   stopping_ = true;
   announcer_->stop();
+  joiner_->stop();
   http_->close_after_answers();
   co_await hand_over_leadership();
   co_await http_->drain(kFinishLimit, http::IdleEnd::kSilent);
--- a/src/control/control_server.hpp
+++ b/src/control/control_server.hpp
@@ -12,6 +12,7 @@
 #include "control/announcer.hpp"
 #include "control/daemon_service.hpp"
 #include "control/disk_start.hpp"
+#include "control/joiner.hpp"
 #include "control/leader_duties.hpp"
 #include "control/metrics.hpp"
 #include "control/operator_api.hpp"
@@ -77,7 +78,6 @@
   boost::asio::awaitable<void> serve_translated(TranslatedCall call, http::Responder respond);
   boost::asio::awaitable<void> serve_operator(http::Request request, http::Responder respond);
   boost::asio::awaitable<protocol::OperatorReply> serve_forwarded(protocol::OperatorRequest request);
-  boost::asio::awaitable<void> ask_to_join();
   boost::asio::awaitable<void> announce();
   boost::asio::awaitable<void> keep_members_connected();
   boost::asio::awaitable<void> hand_over_leadership();
@@ -96,6 +96,7 @@
   std::unique_ptr<LeaderDuties> duties_;
   std::unique_ptr<OperatorApi> operators_;
   std::unique_ptr<DaemonService> daemons_;
+  std::unique_ptr<Joiner> joiner_;
   std::unique_ptr<Announcer> announcer_;
   std::unique_ptr<PlatformWatch> platform_;
   RevisionNotices notices_;
--- /dev/null
+++ b/src/control/joiner.hpp
@@ -0,0 +1,41 @@
+// Asks other control replicas to be let into the membership, as long as this one is no part of it.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <optional>
+#include <vector>
+
+#include "control/options.hpp"
+#include "control/peer_channels.hpp"
+#include "core/clock.hpp"
+#include "raft/node.hpp"
+
+namespace pipitpond::control {
+
+class Joiner {
+ public:
+  /// `self` as others reach it: it stands in for the member that had its addresses.
+  Joiner(boost::asio::io_context& io, const raft::Node& node, PeerChannels& peers, Peer self,
+         std::vector<Peer> configured);
+
+  /// Asks while the replica wants to join, until stop(). The joiner must outlive the call.
+  boost::asio::awaitable<void> run();
+  void stop() { stopped_ = true; }
+
+ private:
+  void ask();
+  /// Says whom it asks for how long, at the first request and then once a second.
+  void log_request(core::Instant now, const std::vector<core::Endpoint>& asked);
+
+  boost::asio::io_context& io_;
+  const raft::Node& node_;
+  PeerChannels& peers_;
+  Peer self_;
+  std::vector<Peer> configured_;
+  bool stopped_ = false;
+  std::optional<core::Instant> asking_since_;
+  core::Instant next_line_{};
+};
+
+}  // namespace pipitpond::control
--- a/src/control/metrics.cpp
+++ b/src/control/metrics.cpp
@@ -29,6 +29,14 @@
       .set(number(duties.settled_everywhere()));
   registry.gauge("pipitpond_control_members", "Members of control.")
       .set(number(node.membership().members.size()));
+  registry.gauge("pipitpond_control_voters", "Voting members of control.")
+      .set(number(node.membership().voter_count()));
+  if (replica.leading()) {
+    registry
+        .gauge("pipitpond_control_voters_in_contact",
+               "Voters that answer the leader, itself included; more than half of them must. Leader only.")
+        .set(number(node.voters_in_contact()));
+  }
   registry.gauge("pipitpond_control_daemons", "Admitted daemons.").set(number(configuration.daemons.size()));
   registry.gauge("pipitpond_control_disk_full", "1 while the replica waits for room on its disk.")
       .set(replica.without_room() ? 1 : 0);
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "control/membership_log.hpp"
 #include "logging/logging.hpp"
 #include "wire/codec.hpp"
 
@@ -225,6 +226,9 @@
   for (const raft::Message& message : ready.messages) {
     send_(message);
   }
+  for (const raft::MembershipDecision& decision : ready.decisions) {
+    log_decision(decision);
+  }
   // Before anything of a later leader is applied, so that nothing more is decided in this one's name.
   note_leadership_loss();
   if (ready.restore && ready.snapshot) {
@@ -273,6 +277,8 @@
     } else {
       result.error = command.error();
     }
+  } else if (entry.kind == raft::EntryKind::kMembership) {
+    log_members(entry.index, entry.membership);
   }
   applied_ = entry.index;
   applied_bytes_ += entry.command.size();
@@ -321,8 +327,7 @@
     return;
   }
   told_candidacies_ = node_.candidacies();
-  logging::logger("control")->info("event=candidacy term={} count={} last={}.{}", node_.term(),
-                                   told_candidacies_, node_.log().last().term, node_.log().last().index);
+  log_candidacy(node_);
 }
 
 void Replica::note_leadership_gain() {
--- a/src/raft/node.cpp
+++ b/src/raft/node.cpp
@@ -135,6 +135,7 @@
   // earlier, but only if its term is known to be synced; a replica that is its own majority is not there.
   ready.messages = std::exchange(messages_, {});
   ready.reads = std::exchange(read_results_, {});
+  ready.decisions = std::exchange(decisions_, {});
   const auto apply_from = std::max(applied_, ready.restore ? log_.snapshot().index : 0) + 1;
   if (apply_from <= hard_state_.commit) ready.committed = log_.range(apply_from, hard_state_.commit);
   in_flight_ = InFlight{log_.last(), hard_state_.commit};
--- a/src/raft/node.hpp
+++ b/src/raft/node.hpp
@@ -51,6 +51,14 @@
   kRemove,
 };
 
+/// How a candidacy that was not won went.
+struct LostCandidacy {
+  Term term = 0;  ///< Of the votes asked for.
+  std::vector<core::ControlId> granted;
+  std::vector<core::ControlId> refused;
+  std::vector<core::ControlId> unanswered;
+};
+
 struct MembershipChange {
   MembershipAction action = MembershipAction::kAddLearner;
   Member member;  ///< kRemove: only the id counts.
@@ -116,6 +124,10 @@
   [[nodiscard]] const Config& config() const { return config_; }
   /// How often this replica has stood for election since it started; asking for pre-votes counts.
   [[nodiscard]] std::uint64_t candidacies() const { return candidacies_; }
+  /// The last candidacy that ended without a majority; of term 0 when there was none since the start.
+  [[nodiscard]] const LostCandidacy& lost_candidacy() const { return lost_candidacy_; }
+  /// Leader: voters, itself included, that answered within the shortest election timeout.
+  [[nodiscard]] std::size_t voters_in_contact() const;
   /// When a member last answered this leader; empty when it never did, or when this is no leader.
   [[nodiscard]] std::optional<core::Instant> last_contact(const core::ControlId& id) const;
 
@@ -139,6 +151,7 @@
   void request_votes(Term term, const MessageBody& request);
   void count_votes();
   void reset_election_timer();
+  void note_lost_candidacy();
   /// The time to gather votes has passed. Votes that wait in a candidate's queue while it is frozen say
   /// nothing about now: others may have elected a leader of a newer term meanwhile.
   [[nodiscard]] bool election_is_over() const;
@@ -173,8 +186,10 @@
 
   // Membership and transfer (node_membership.cpp).
   void handle(const Message& message, const JoinRequest& request);
+  [[nodiscard]] core::Duration silence_of(const core::ControlId& id) const;
   [[nodiscard]] core::Result<void> may_change_membership() const;
   core::LogPosition append_membership(Membership membership);
+  void note_decision(MembershipReason reason, const Member& member);
   void follow_membership();
   void promote_or_remove();
   bool promote_a_learner();
@@ -196,6 +211,8 @@
   // Candidates.
   std::map<core::ControlId, bool> votes_;
   std::uint64_t candidacies_ = 0;
+  Term candidacy_term_ = 0;  ///< Of the votes asked for last.
+  LostCandidacy lost_candidacy_;
 
   // Leader.
   struct RoundSent {
@@ -220,6 +237,7 @@
     Index applied = 0;
   };
   std::vector<Message> messages_;
+  std::vector<MembershipDecision> decisions_;
   std::vector<ReadResult> read_results_;
   HardState handed_out_hard_state_;
   Index persisted_ = 0;  ///< Entries up to here are synced.
--- a/src/raft/node_election.cpp
+++ b/src/raft/node_election.cpp
@@ -7,6 +7,7 @@
 namespace pipitpond::raft {
 
 void Node::become_follower(Term term, std::optional<core::ControlId> leader) {
+  note_lost_candidacy();
   if (term > hard_state_.term) {
     hard_state_.term = term;
     hard_state_.voted_for = {};
@@ -35,7 +36,22 @@
   return now_ < last_leader_contact_ + config_.election_timeout_min;
 }
 
+void Node::note_lost_candidacy() {
+  if (role_ != Role::kPreCandidate && role_ != Role::kCandidate) return;
+  lost_candidacy_ = LostCandidacy{candidacy_term_, {}, {}, {}};
+  for (const auto& member : membership().members) {
+    if (member.role != MemberRole::kVoter || member.id == config_.id) continue;
+    const auto vote = votes_.find(member.id);
+    if (vote == votes_.end()) {
+      lost_candidacy_.unanswered.push_back(member.id);
+    } else {
+      (vote->second ? lost_candidacy_.granted : lost_candidacy_.refused).push_back(member.id);
+    }
+  }
+}
+
 void Node::stand() {
+  note_lost_candidacy();
   reset_election_timer();
   leader_.reset();
   if (!membership().is_voter(config_.id)) return;
@@ -63,6 +79,7 @@
 
 void Node::request_votes(Term term, const MessageBody& request) {
   votes_ = {{config_.id, true}};
+  candidacy_term_ = term;
   for (const auto& member : membership().members) {
     if (member.role != MemberRole::kVoter || member.id == config_.id) continue;
     send_with_term(member.id, term, request);
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -60,7 +60,10 @@
     }
     changed.members.push_back(change.member);
     changed.members.back().role = MemberRole::kLearner;
-    return append_membership(std::move(changed));
+    const Member learner = changed.members.back();
+    const auto position = append_membership(std::move(changed));
+    note_decision(MembershipReason::kOperator, learner);
+    return position;
   }
   if (changed.find(id) == nullptr) {
     return core::fail(ErrorKind::kNotFound, "No control replica has this id.", "List the members.");
@@ -69,14 +72,34 @@
     return core::fail(ErrorKind::kInvalidArgument, "The leader can't remove itself.",
                       "Drain this replica first, so that another one leads.");
   }
+  const Member removed = *changed.find(id);
   std::erase_if(changed.members, [&](const Member& member) { return member.id == id; });
-  return append_membership(std::move(changed));
+  const auto position = append_membership(std::move(changed));
+  note_decision(MembershipReason::kOperator, removed);
+  return position;
 }
 
 core::LogPosition Node::append_membership(Membership membership) {
   return append_entry(Entry{0, 0, EntryKind::kMembership, {}, std::move(membership)});
 }
 
+std::size_t Node::voters_in_contact() const {
+  const auto& members = membership().members;
+  return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [this](const Member& member) {
+    return member.role == MemberRole::kVoter && silence_of(member.id) < config_.election_timeout_min;
+  }));
+}
+
+core::Duration Node::silence_of(const core::ControlId& id) const {
+  if (id == config_.id) return core::Duration::zero();
+  return now_ - std::max(last_contact(id).value_or(leader_since_), leader_since_);
+}
+
+void Node::note_decision(MembershipReason reason, const Member& member) {
+  const auto& silent = member.replaces.empty() ? member.id : member.replaces;
+  decisions_.push_back({reason, member, silence_of(silent), membership().voter_count(), voters_in_contact()});
+}
+
 void Node::follow_membership() {
   for (const auto& member : membership().members) {
     if (member.id == config_.id || progress_.count(member.id) > 0) continue;
@@ -115,7 +138,9 @@
     for (auto& candidate : changed.members) {
       if (candidate.id == member.id) candidate.role = MemberRole::kVoter;
     }
+    const Member voter = *changed.find(member.id);
     append_membership(std::move(changed));
+    note_decision(MembershipReason::kCaughtUp, voter);
     return true;
   }
   return false;
@@ -126,12 +151,14 @@
     const auto replaced = member.replaces;
     if (replaced.empty() || member.role != MemberRole::kVoter) continue;
     if (replaced == config_.id || membership().find(replaced) == nullptr) continue;
+    const Member removed = *membership().find(replaced);
     auto changed = membership();
     std::erase_if(changed.members, [&](const Member& candidate) { return candidate.id == replaced; });
     for (auto& candidate : changed.members) {
       if (candidate.id == member.id) candidate.replaces = {};
     }
     append_membership(std::move(changed));
+    note_decision(MembershipReason::kReplaced, removed);
     return true;
   }
   return false;
@@ -139,25 +166,20 @@
 
 bool Node::remove_a_silent() {
   if (!config_.open_membership) return false;
-  const auto heard_within = [this](const core::ControlId& id, core::Duration limit) {
-    if (id == config_.id) return true;
-    const auto contact = std::max(last_contact(id).value_or(leader_since_), leader_since_);
-    return now_ - contact < limit;
-  };
-  std::size_t in_contact = 0;
   const Member* silent = nullptr;
   for (const auto& member : membership().members) {
-    if (member.role != MemberRole::kVoter) continue;
-    if (heard_within(member.id, config_.election_timeout_min)) ++in_contact;
-    if (!heard_within(member.id, config_.remove_silent_after)) silent = &member;
+    const bool votes = member.role == MemberRole::kVoter;
+    if (votes && silence_of(member.id) >= config_.remove_silent_after) silent = &member;
   }
   // The others must stand by themselves, also without one more of them.
   const std::size_t left = membership().voter_count() - 1;
-  const bool safe = left >= kLeastVotersKept && in_contact > left / 2 + 1;
+  const bool safe = left >= kLeastVotersKept && voters_in_contact() > left / 2 + 1;
   if (silent == nullptr || !safe) return false;
+  const Member removed = *silent;
   auto changed = membership();
-  std::erase_if(changed.members, [&](const Member& member) { return member.id == silent->id; });
+  std::erase_if(changed.members, [&](const Member& member) { return member.id == removed.id; });
   append_membership(std::move(changed));
+  note_decision(MembershipReason::kSilent, removed);
   return true;
 }
 
@@ -180,8 +202,7 @@
   // 500, measured in virtual time by a test; a second disk that is lost meanwhile leaves no majority. Letting
   // it in early is safe: it is a learner, which counts in no majority, until it holds all that is committed.
   if (same_place->id == config_.id) return;
-  const auto contact = std::max(last_contact(same_place->id).value_or(leader_since_), leader_since_);
-  if (now_ - contact < config_.election_timeout_min) return;
+  if (silence_of(same_place->id) < config_.election_timeout_min) return;
   const auto& known = *same_place;
   auto changed = membership();
   if (known.role == MemberRole::kLearner) {
@@ -190,7 +211,9 @@
   changed.members.push_back(joiner);
   changed.members.back().role = MemberRole::kLearner;
   changed.members.back().replaces = known.role == MemberRole::kLearner ? known.replaces : known.id;
+  const Member learner = changed.members.back();
   append_membership(std::move(changed));
+  note_decision(MembershipReason::kJoins, learner);
 }
 
 void Node::admit_stranger(const Member& joiner) {
@@ -198,7 +221,9 @@
   changed.members.push_back(joiner);
   changed.members.back().role = MemberRole::kLearner;
   changed.members.back().replaces = {};
+  const Member learner = changed.members.back();
   append_membership(std::move(changed));
+  note_decision(MembershipReason::kJoins, learner);
 }
 
 core::Result<void> Node::transfer_leadership(core::Instant now) {
--- a/src/raft/ready.hpp
+++ b/src/raft/ready.hpp
@@ -1,10 +1,12 @@
 // What one replica asks its driver to do.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
+#include "core/clock.hpp"
 #include "raft/message.hpp"
 #include "raft/types.hpp"
 
@@ -22,6 +24,24 @@
   Index index = 0;
 };
 
+/// Why a leader changes the members.
+enum class MembershipReason : std::uint8_t {
+  kOperator,  ///< Somebody asked for it.
+  kJoins,     ///< A newcomer is let in as a learner.
+  kCaughtUp,  ///< A learner becomes a voter.
+  kReplaced,  ///< A newcomer that votes stands in this member's place.
+  kSilent,    ///< It was not heard for long, and the others can spare it.
+};
+
+/// A change of the members that a leader has put into its log.
+struct MembershipDecision {
+  MembershipReason reason = MembershipReason::kOperator;
+  Member member;                 ///< As it is from now on, or as it was when it is removed.
+  core::Duration silent_for{0};  ///< Of the member in whose place it stands, else of the member itself.
+  std::size_t voters = 0;        ///< From now on.
+  std::size_t voters_in_contact = 0;
+};
+
 /// Work for the driver, to be done in the order of the members.
 struct Ready {
   /// 1. Persist these, with one sync for all of them, before anything below happens.
@@ -41,6 +61,8 @@
   std::vector<Entry> committed;
   /// 5. Answer reads.
   std::vector<ReadResult> reads;
+  /// What was decided since the last Ready, for the log; it may still be lost with this leader.
+  std::vector<MembershipDecision> decisions;
 
   /// Whether step 1 must sync; a mere new commit hint needs none.
   bool must_sync = false;
