--- a/tests/control_world/mechanisms_test.cpp
+++ b/tests/control_world/mechanisms_test.cpp
@@ -38,7 +38,7 @@
     ::testing::Values(Case{Mechanism::kPreVote, 3, "The leader was disturbed when c3 came back from a cut"},
                       Case{Mechanism::kPreVote, 131,
                            "The leader was disturbed when c1 came back from a long silence"},
-                      Case{Mechanism::kCheckQuorum, 1892, "was still sure of its quorum"},
+                      Case{Mechanism::kCheckQuorum, 3584, "was still sure of its quorum"},
                       Case{Mechanism::kSyncBeforeSend, 106, "whose log lacks the committed entry"},
                       Case{Mechanism::kReadQuorum, 26, "A read showed revision"},
                       Case{Mechanism::kOneMembershipChange, 63, "was still sure of its quorum"},
