The silence of control's voters counts over changes of leader

Callers saw the users' line. A voter that is gone for good is removed after 12 s of silence, which each new leader counted anew: with leaders that change more often, replaced machines add up to a majority.

A leader tells in each append which voters it does not hear and for how long (nothing while all answer); whoever leads next counts on from there, and from the last word of the leader before it for that one. Members that live get two of the longest election timeouts to answer a new leader, also after a time without any. A silence can come out too long after a partition; the member then joins anew. Weighed: a committed mark for each silent voter (entries and syncs in the moments that are hardest already); a count that a process that was restarted does not know begins anew.

--- a/src/raft/message.hpp
+++ b/src/raft/message.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "raft/silence.hpp"
 #include "raft/types.hpp"
 
 namespace pipitpond::raft {
@@ -47,8 +48,9 @@
   std::vector<Entry> entries;
   Index commit = 0;
   Round round = 0;
+  std::vector<SilentMember> silent;  ///< Voters that the leader does not hear.
 
-  MSGPACK_DEFINE(previous, entries, commit, round);
+  MSGPACK_DEFINE(previous, entries, commit, round, silent);
 };
 
 /// Follower's answer, sent once the entries are synced.
--- a/src/raft/node.cpp
+++ b/src/raft/node.cpp
@@ -15,7 +15,8 @@
       now_(now),
       // This replica may have answered a leader just before it restarted. Counting the start as a contact
       // keeps the promise not to elect another leader for an election timeout (see has_quorum).
-      last_leader_contact_(now) {
+      last_leader_contact_(now),
+      earlier_silence_(now) {
   hard_state_.commit = std::clamp(hard_state_.commit, log_.snapshot().index, log_.last_index());
   handed_out_hard_state_ = hard_state_;
   persisted_ = log_.last_index();
--- a/src/raft/node.hpp
+++ b/src/raft/node.hpp
@@ -39,6 +39,7 @@
 #include "raft/progress.hpp"
 #include "raft/read_queue.hpp"
 #include "raft/ready.hpp"
+#include "raft/silence.hpp"
 #include "raft/types.hpp"
 
 namespace pipitpond::raft {
@@ -205,7 +206,11 @@
   void admit_stranger(const Member& joiner);
 
   // Membership and transfer (node_membership.cpp).
+  /// How long no leader has heard a member, earlier ones included.
   [[nodiscard]] core::Duration silence_of(const core::ControlId& id) const;
+  /// Voters that this leader does not hear.
+  [[nodiscard]] std::vector<SilentMember> silent_voters() const;
+  [[nodiscard]] AppendRequest append_after(const core::LogPosition& previous) const;
   [[nodiscard]] core::Result<void> may_change_membership() const;
   core::LogPosition append_membership(Membership membership);
   void note_decision(MembershipReason reason, const Member& member);
@@ -225,6 +230,7 @@
   std::optional<core::ControlId> leader_;
   core::Instant election_deadline_{};
   core::Instant last_leader_contact_;
+  EarlierSilence earlier_silence_;
 
   // Joining.
   std::vector<core::Endpoint> named_replicas_;  ///< By answers; the latest last.
--- a/src/raft/node_election.cpp
+++ b/src/raft/node_election.cpp
@@ -8,6 +8,7 @@
 
 void Node::become_follower(Term term, std::optional<core::ControlId> leader) {
   note_lost_candidacy();
+  if (role_ == Role::kLeader) earlier_silence_.note(now_, silent_voters());
   if (term > hard_state_.term) {
     hard_state_.term = term;
     hard_state_.voted_for = {};
--- a/src/raft/node_follower.cpp
+++ b/src/raft/node_follower.cpp
@@ -14,6 +14,7 @@
 void Node::handle(const Message& message, const AppendRequest& request) {
   if (role_ == Role::kLeader) return;  // Two leaders in one term can't be; never give up our own log.
   follow(message);
+  earlier_silence_.note(now_, request.silent);
   const auto previous = request.previous.index;
   if (previous < hard_state_.commit) {
     // What is committed here is in every later leader's log, so it agrees up to there.
--- a/src/raft/node_leader.cpp
+++ b/src/raft/node_leader.cpp
@@ -63,7 +63,7 @@
     } else if (heartbeat) {
       // Keeps the follower from standing for election while the snapshot is on its way.
       const auto& snapshot = log_.snapshot();
-      send(to, AppendRequest{{snapshot.term, snapshot.index}, {}, hard_state_.commit, round_});
+      send(to, append_after({snapshot.term, snapshot.index}));
     }
     return;
   }
@@ -81,8 +81,7 @@
 void Node::send_entries(const core::ControlId& to, Progress& progress, bool heartbeat) {
   const bool probing = progress.state == ReplicationState::kProbe;
   do {
-    AppendRequest request{
-        {*log_.term_at(progress.next - 1), progress.next - 1}, {}, hard_state_.commit, round_};
+    AppendRequest request = append_after({*log_.term_at(progress.next - 1), progress.next - 1});
     if (may_send_entries(progress)) {
       request.entries =
           log_.slice(progress.next, config_.max_entries_per_append, config_.max_bytes_per_append);
@@ -98,6 +97,10 @@
   } while (!probing);
 }
 
+AppendRequest Node::append_after(const core::LogPosition& previous) const {
+  return AppendRequest{previous, {}, hard_state_.commit, round_, silent_voters()};
+}
+
 bool Node::may_send_entries(const Progress& progress) const {
   if (progress.state == ReplicationState::kProbe) return !progress.probe_sent;
   const auto sent_ahead = progress.next - 1 - progress.match;
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -12,6 +12,9 @@
 
 /// Silent voters are removed down to this many.
 constexpr std::size_t kLeastVotersKept = 3;
+/// In units of the longest election timeout: how long a new leader takes members for alive that have not
+/// answered it yet.
+constexpr int kTimeToAnswer = 2;
 
 }  // namespace
 
@@ -82,7 +85,21 @@
 
 core::Duration Node::silence_of(const core::ControlId& id) const {
   if (id == config_.id) return core::Duration::zero();
-  return now_ - std::max(last_contact(id).value_or(leader_since_), leader_since_);
+  if (const auto contact = last_contact(id)) return now_ - *contact;
+  // Members that live need a moment to answer a new leader.
+  const auto reign = now_ - leader_since_;
+  if (reign < kTimeToAnswer * config_.election_timeout_max) return reign;
+  return std::max(reign, now_ - earlier_silence_.last_heard(id));
+}
+
+std::vector<SilentMember> Node::silent_voters() const {
+  std::vector<SilentMember> silent;
+  for (const auto& member : membership().members) {
+    const auto silence = silence_of(member.id);
+    if (member.role != MemberRole::kVoter || silence < config_.election_timeout_min) continue;
+    silent.push_back({member.id, static_cast<std::uint32_t>(core::to_millis(silence))});
+  }
+  return silent;
 }
 
 void Node::note_decision(MembershipReason reason, const Member& member) {
--- a/tests/raft/membership_test.cpp
+++ b/tests/raft/membership_test.cpp
@@ -248,6 +248,24 @@
   EXPECT_TRUE(outlives_three_replacements(milliseconds(9'000), true));
 }
 
+TEST(OpenMembership, ANewLeaderDoesNotTakeLiveVotersForSilentAfterATimeWithoutALeader) {
+  Cluster cluster(5, true);
+  ASSERT_TRUE(cluster.commit("a"));
+  const auto leader = cluster.elect().config().id;
+  cluster.stop(leader);
+  std::vector<core::ControlId> others;
+  for (int number = 1; number <= 5; ++number) {
+    if (replica(number) != leader) others.push_back(replica(number));
+  }
+  for (const auto& id : others) cluster.cut(id);
+  cluster.run_for(milliseconds(20'000));
+  for (const auto& id : others) cluster.heal(id);
+  cluster.elect();
+  cluster.run_for(milliseconds(5'000));
+  for (const auto& id : others) EXPECT_TRUE(cluster.elect().membership().is_voter(id)) << id;
+  EXPECT_EQ(cluster.elect().membership().find(leader), nullptr);
+}
+
 TEST(OpenMembership, ASilentVoterStaysWhileTheOthersNeedIt) {
   Cluster cluster(3, true);
   ASSERT_TRUE(cluster.commit("a"));
--- a/tests/raft/node_test.cpp
+++ b/tests/raft/node_test.cpp
@@ -268,11 +268,15 @@
 
 TEST(Message, SurvivesPacking) {
   const Entry entry{5, 2, EntryKind::kMembership, "", testing::voters(3)};
-  const Message message{"test", replica(1), replica(2), 9, AppendRequest{{2, 4}, {entry}, 3, 17}};
+  const Message message{"test", replica(1), replica(2), 9,
+                        AppendRequest{{2, 4}, {entry}, 3, 17, {{replica(3), 900}}}};
   const auto copy = wire::unpack<Message>(wire::pack(message));
   ASSERT_TRUE(copy.has_value());
   const auto& append = std::get<AppendRequest>(copy.value().body);
   EXPECT_EQ(append.entries, std::vector<Entry>{entry});
+  ASSERT_EQ(append.silent.size(), 1U);
+  EXPECT_EQ(append.silent[0].id, replica(3));
+  EXPECT_EQ(append.silent[0].silent_ms, 900U);
   EXPECT_EQ(copy.value().term, 9U);
   EXPECT_TRUE(wire::unpack<Message>("garbage").has_failure());
 }
