A newcomer takes the place of a silent voter as soon as it votes; others are removed after 6 s

A machine that was replaced at a new address stayed a voter for 12 s after its end, so that machines replaced one after the other, each 4 s after the last one's successor came, add up: 8 voters, 5 of them alive, none of which may be lost.

A newcomer is let in for a voter that is silent at that moment, which is removed once the newcomer votes, provided that it has been silent for four of the longest election timeouts and that the others stand without one more. It stays if it is heard again. Who was replaced before its successor came is removed after 6 s as before (12 s). A member that hears no leader for four of the longest election timeouts asks whether it was removed (6 s before): it votes again within the 4 s that users give a machine to catch up. Weighed: a shorter wait for all (each restart would leave the members and come back, and every daemon hears of each change); a mark that a newcomer may replace whoever falls silent next (founders that joined by themselves would hold it too).

--- a/src/raft/config.hpp
+++ b/src/raft/config.hpp
@@ -42,7 +42,7 @@
   bool open_membership = false;
   /// With open membership: a voter that was not heard for this long is removed, so that machines that are
   /// gone for good do not add up to a majority. It joins again if it returns.
-  core::Duration remove_silent_after = std::chrono::seconds(12);
+  core::Duration remove_silent_after = std::chrono::seconds(6);
   Mechanisms mechanisms;
 };
 
--- a/src/raft/node.hpp
+++ b/src/raft/node.hpp
@@ -204,6 +204,8 @@
   /// Adds a learner; empty when it is one of the members now.
   std::optional<JoinRefusal> admit(const Member& joiner);
   void admit_stranger(const Member& joiner);
+  /// A silent voter in whose place no newcomer stands yet; empty: none.
+  [[nodiscard]] core::ControlId unreplaced_silent_voter() const;
 
   // Membership and transfer (node_membership.cpp).
   /// How long no leader has heard a member, earlier ones included.
@@ -219,6 +221,8 @@
   bool promote_a_learner();
   bool remove_a_replaced();
   bool remove_a_silent();
+  [[nodiscard]] bool can_spare_one() const;
+  void remove_member(Member removed, MembershipReason reason);
   void continue_transfer();
 
   Config config_;
--- a/src/raft/node_joining.cpp
+++ b/src/raft/node_joining.cpp
@@ -9,6 +9,8 @@
 
 /// Named replicas that are remembered; more than a membership has.
 constexpr std::size_t kMostNamedReplicas = 64;
+/// In units of the longest election timeout: a member that hears no leader for so long may have been removed.
+constexpr int kForgottenAfter = 4;
 
 void add_once(std::vector<core::Endpoint>& endpoints, const core::Endpoint& endpoint) {
   if (std::find(endpoints.begin(), endpoints.end(), endpoint) == endpoints.end()) {
@@ -23,7 +25,7 @@
   if (self == nullptr) return true;
   // It may have been removed while it was out of touch: then nobody sends it anything, not even that news.
   const bool forgotten = config_.open_membership && role_ != Role::kLeader &&
-                         now_ - last_leader_contact_ >= config_.remove_silent_after / 2;
+                         now_ - last_leader_contact_ >= kForgottenAfter * config_.election_timeout_max;
   if (forgotten) return true;
   return self->role == MemberRole::kLearner && !leader_.has_value();
 }
@@ -84,23 +86,38 @@
   if (silence_of(same_place->id) < config_.election_timeout_min) return JoinRefusal::kPlaceIsTaken;
   const auto& known = *same_place;
   auto changed = membership();
-  if (known.role == MemberRole::kLearner) {
+  const bool known_learns = known.role == MemberRole::kLearner;
+  if (known_learns) {
     std::erase_if(changed.members, [&](const Member& member) { return member.id == known.id; });
   }
   changed.members.push_back(joiner);
   changed.members.back().role = MemberRole::kLearner;
-  changed.members.back().replaces = known.role == MemberRole::kLearner ? known.replaces : known.id;
+  changed.members.back().replaces = known_learns ? known.replaces : known.id;
+  changed.members.back().replaces_only_silent = known_learns && known.replaces_only_silent;
   const Member learner = changed.members.back();
   append_membership(std::move(changed));
   note_decision(MembershipReason::kJoins, learner);
   return std::nullopt;
 }
 
+core::ControlId Node::unreplaced_silent_voter() const {
+  const auto& members = membership().members;
+  for (const auto& member : members) {
+    const bool silent = member.role == MemberRole::kVoter && member.id != config_.id &&
+                        silence_of(member.id) >= config_.election_timeout_min;
+    const bool replaced = std::any_of(members.begin(), members.end(),
+                                      [&](const Member& other) { return other.replaces == member.id; });
+    if (silent && !replaced) return member.id;
+  }
+  return {};
+}
+
 void Node::admit_stranger(const Member& joiner) {
   auto changed = membership();
   changed.members.push_back(joiner);
   changed.members.back().role = MemberRole::kLearner;
-  changed.members.back().replaces = {};
+  changed.members.back().replaces = unreplaced_silent_voter();
+  changed.members.back().replaces_only_silent = !changed.members.back().replaces.empty();
   const Member learner = changed.members.back();
   append_membership(std::move(changed));
   note_decision(MembershipReason::kJoins, learner);
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -15,6 +15,9 @@
 /// In units of the longest election timeout: how long a new leader takes members for alive that have not
 /// answered it yet.
 constexpr int kTimeToAnswer = 2;
+/// In the same units: how long a voter must be silent to be removed in favour of a newcomer. One that is only
+/// cut off for a moment stays; one that returns later joins anew.
+constexpr int kSilenceOfTheReplaced = 4;
 
 }  // namespace
 
@@ -155,39 +158,43 @@
 
 bool Node::remove_a_replaced() {
   for (const auto& member : membership().members) {
-    const auto replaced = member.replaces;
-    if (replaced.empty() || member.role != MemberRole::kVoter) continue;
-    if (replaced == config_.id || membership().find(replaced) == nullptr) continue;
-    const Member removed = *membership().find(replaced);
-    auto changed = membership();
-    std::erase_if(changed.members, [&](const Member& candidate) { return candidate.id == replaced; });
-    for (auto& candidate : changed.members) {
-      if (candidate.id == member.id) candidate.replaces = {};
-    }
-    append_membership(std::move(changed));
-    note_decision(MembershipReason::kReplaced, removed);
+    const auto* replaced = membership().find(member.replaces);
+    if (replaced == nullptr || replaced->id == config_.id || member.role != MemberRole::kVoter) continue;
+    const bool silent = silence_of(replaced->id) >= kSilenceOfTheReplaced * config_.election_timeout_max;
+    if (member.replaces_only_silent && !(silent && can_spare_one())) continue;
+    remove_member(*replaced, MembershipReason::kReplaced);
     return true;
   }
   return false;
 }
 
 bool Node::remove_a_silent() {
-  if (!config_.open_membership) return false;
-  const Member* silent = nullptr;
+  if (!config_.open_membership || !can_spare_one()) return false;
   for (const auto& member : membership().members) {
     const bool votes = member.role == MemberRole::kVoter;
-    if (votes && silence_of(member.id) >= config_.remove_silent_after) silent = &member;
+    if (!votes || silence_of(member.id) < config_.remove_silent_after) continue;
+    remove_member(member, MembershipReason::kSilent);
+    return true;
   }
+  return false;
+}
+
+bool Node::can_spare_one() const {
   // The others must stand by themselves, also without one more of them.
   const std::size_t left = membership().voter_count() - 1;
-  const bool safe = left >= kLeastVotersKept && voters_in_contact() > left / 2 + 1;
-  if (silent == nullptr || !safe) return false;
-  const Member removed = *silent;
+  return left >= kLeastVotersKept && voters_in_contact() > left / 2 + 1;
+}
+
+void Node::remove_member(Member removed, MembershipReason reason) {
   auto changed = membership();
   std::erase_if(changed.members, [&](const Member& member) { return member.id == removed.id; });
+  for (auto& member : changed.members) {
+    if (member.replaces != removed.id) continue;
+    member.replaces = {};
+    member.replaces_only_silent = false;
+  }
   append_membership(std::move(changed));
-  note_decision(MembershipReason::kSilent, removed);
-  return true;
+  note_decision(reason, removed);
 }
 
 core::Result<void> Node::transfer_leadership(core::Instant now) {
--- a/src/raft/types.hpp
+++ b/src/raft/types.hpp
@@ -26,13 +26,14 @@
   core::Endpoint internal;   ///< Where the other replicas and the daemons reach it.
   core::Endpoint operators;  ///< Where operators reach it.
   MemberRole role = MemberRole::kVoter;
-  /// A learner that takes the place of a replica whose disk was lost: that replica is removed once the
-  /// learner has become a voter. Empty: none.
+  /// The member in whose place this one was let in, which is removed once this one votes. Empty: none.
   core::ControlId replaces;
+  /// Nobody asked for that removal, and that member's disk may be whole: it stays while it is heard.
+  bool replaces_only_silent = false;
 
   auto operator<=>(const Member&) const = default;
 
-  MSGPACK_DEFINE(id, internal, operators, role, replaces);
+  MSGPACK_DEFINE(id, internal, operators, role, replaces, replaces_only_silent);
 };
 
 /// All control replicas.
--- a/tests/raft/membership_test.cpp
+++ b/tests/raft/membership_test.cpp
@@ -248,6 +248,63 @@
   EXPECT_TRUE(outlives_three_replacements(milliseconds(9'000), true));
 }
 
+TEST(OpenMembership, ANewcomerTakesThePlaceOfAVoterThatIsGone) {
+  Cluster cluster(5, true);
+  ASSERT_TRUE(cluster.commit("a"));
+  const auto leader = cluster.elect().config().id;
+  const auto gone = leader == replica(1) ? replica(2) : replica(1);
+  cluster.stop(gone);
+  cluster.run_for(milliseconds(1'000));
+  ASSERT_TRUE(joins(cluster, replica(6)));
+  EXPECT_TRUE(cluster.run_until([&] { return cluster.elect().membership().find(gone) == nullptr; },
+                                milliseconds(2'500)));
+  EXPECT_EQ(cluster.elect().membership().voter_count(), 5U);
+  EXPECT_TRUE(cluster.elect().membership().find(replica(6))->replaces.empty());
+}
+
+TEST(OpenMembership, AVoterThatIsHeardAgainKeepsItsPlaceBesideTheNewcomer) {
+  Cluster cluster(5, true);
+  ASSERT_TRUE(cluster.commit("a"));
+  const auto leader = cluster.elect().config().id;
+  const auto away = leader == replica(1) ? replica(2) : replica(1);
+  cluster.cut(away);
+  cluster.run_for(milliseconds(500));
+  ASSERT_TRUE(joins(cluster, replica(6)));
+  EXPECT_EQ(cluster.elect().membership().find(replica(6))->replaces, away);
+  cluster.heal(away);
+  cluster.run_for(milliseconds(20'000));
+  EXPECT_TRUE(cluster.elect().membership().is_voter(away));
+  EXPECT_EQ(cluster.elect().membership().voter_count(), 6U);
+}
+
+TEST(OpenMembership, VotersOfASmallerPartThatIsCutOffStay) {
+  Cluster cluster(5, true);
+  ASSERT_TRUE(cluster.commit("a"));
+  const auto leader = cluster.elect().config().id;
+  std::vector<core::ControlId> away;
+  for (int number = 1; number <= 5 && away.size() < 2; ++number) {
+    if (replica(number) != leader) away.push_back(replica(number));
+  }
+  for (const auto& id : away) cluster.cut(id);
+  cluster.run_for(milliseconds(20'000));
+  for (const auto& id : away) EXPECT_TRUE(cluster.elect().membership().is_voter(id)) << id;
+}
+
+TEST(Membership, AReplicaThatOperatorsNameIsReplacedThoughItLives) {
+  Cluster cluster(3);
+  ASSERT_TRUE(cluster.commit("a"));
+  const auto leader = cluster.elect().config().id;
+  const auto named = leader == replica(1) ? replica(2) : replica(1);
+  auto change = add(replica(4));
+  change.member.replaces = named;
+  ASSERT_TRUE(cluster.elect().propose_membership(cluster.now, change).has_value());
+  cluster.start(replica(4), {});
+  EXPECT_TRUE(cluster.run_until([&] {
+    const auto& membership = cluster.elect().membership();
+    return membership.is_voter(replica(4)) && membership.find(named) == nullptr;
+  }));
+}
+
 TEST(OpenMembership, ANewLeaderDoesNotTakeLiveVotersForSilentAfterATimeWithoutALeader) {
   Cluster cluster(5, true);
   ASSERT_TRUE(cluster.commit("a"));
