Control takes over changed seeds as those whom it asks

A machine that asks to join, and whose settings name only machines that are gone, asked these to its end: only proxies took over a changed settings file (found by reading, the same class: a fixed list that is asked). Now control does so at a reload, for joining alone.

ControlMembershipTest.AMachineWhoseSeedsAreAllGoneJoinsOnceItsSettingsNameOthers: red in 30 s without the reload, 2.5 s with it. AnEmptyMachineAtANewAddressJoinsThroughOneFollower (0.9 s) is new too.

--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -21,8 +21,9 @@
 
 class ControlDaemon : public runtime::Daemon {
  public:
-  ControlDaemon(boost::asio::io_context& io, const ControlOptions& options, const ControlAdapters& adapters)
-      : io_(io), server_(io, options, end_at_once, adapters) {}
+  /// `settings` must outlive the daemon; they are assigned again at each reload.
+  ControlDaemon(boost::asio::io_context& io, const ControlSettings& settings, const ControlAdapters& adapters)
+      : io_(io), settings_(settings), server_(io, settings.options(), end_at_once, adapters) {}
 
   core::Result<void> start() {
     std::optional<core::Result<void>> started;
@@ -33,6 +34,8 @@
     return *started;
   }
 
+  void reload() override { server_.reload(settings_.options()); }
+
   void stop(std::function<void()> stopped) override {
     boost::asio::co_spawn(io_, stop_server(std::move(stopped)), boost::asio::detached);
   }
@@ -48,6 +51,7 @@
   }
 
   boost::asio::io_context& io_;
+  const ControlSettings& settings_;
   ControlServer server_;
 };
 
@@ -58,7 +62,7 @@
   return runtime::run_daemon(
       argc, argv, program, settings.section(),
       [&](boost::asio::io_context& io) -> core::Result<std::unique_ptr<runtime::Daemon>> {
-        auto daemon = std::make_unique<ControlDaemon>(io, settings.options(), adapters);
+        auto daemon = std::make_unique<ControlDaemon>(io, settings, adapters);
         const auto started = daemon->start();
         if (!started) {
           return started.error();
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -307,6 +307,11 @@
   co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
 }
 
+void ControlServer::reload(const ControlOptions& options) {
+  options_.peers = options.peers;
+  joiner_->set_configured(options_.peers);
+}
+
 awaitable<void> ControlServer::announce() {
   for (int look = 0; look < kLooksForState && replica_->machine().configuration().revision == 0; ++look) {
     co_await pause(kStopPoll);
--- a/src/control/control_server.hpp
+++ b/src/control/control_server.hpp
@@ -60,6 +60,8 @@
 
   /// Opens the disk and the ports.
   boost::asio::awaitable<core::Result<void>> start();
+  /// Takes over the replicas that the settings name; all else needs a restart.
+  void reload(const ControlOptions& options);
   /// Planned stop: hands leadership over, lets requests in progress finish, closes everything.
   boost::asio::awaitable<void> stop();
 
--- a/src/control/joiner.hpp
+++ b/src/control/joiner.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "control/options.hpp"
@@ -27,6 +28,8 @@
   /// Asks while the replica wants to join, until stop(). The joiner must outlive the call.
   boost::asio::awaitable<void> run();
   void stop() { stopped_ = true; }
+  /// Replaces the replicas that the settings name.
+  void set_configured(std::vector<Peer> configured) { configured_ = std::move(configured); }
 
  private:
   void ask(core::Instant now);
--- a/tests/platform/control_membership_test.cpp
+++ b/tests/platform/control_membership_test.cpp
@@ -140,5 +140,21 @@
   EXPECT_EQ(leader(), leading);
 }
 
+TEST_F(ControlMembershipTest, AnEmptyMachineAtANewAddressJoinsThroughOneFollower) {
+  const std::size_t follower = leader() == 0 ? 1 : 0;
+  fleet_.add_control({follower});
+  EXPECT_TRUE(fleet_.wait([this] { return joined_anew(kControls); }));
+}
+
+TEST_F(ControlMembershipTest, AMachineWhoseSeedsAreAllGoneJoinsOnceItsSettingsNameOthers) {
+  constexpr std::size_t kNobody = 200;
+  fleet_.add_control({kNobody});
+  fleet_.pause(std::chrono::milliseconds(1500));
+  ASSERT_FALSE(joined_anew(kControls));
+  fleet_.set_control_seeds(kControls, {1, 2});
+  fleet_.control(kControls).signal(SIGHUP);
+  EXPECT_TRUE(fleet_.wait([this] { return joined_anew(kControls); }));
+}
+
 }  // namespace
 }  // namespace pipitpond::platform
--- a/tests/platform_support/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -124,6 +124,7 @@
             ("pipitpond-platform-" + std::to_string(std::random_device{}()));
   std::filesystem::create_directories(folder_);
   const auto ports = process::free_ports("127.0.0.1", 1);
+  control_http_port_ = ports[0];
   for (int number = 0; number < controls; ++number) {
     controls_.emplace_back();
     controls_.back().http = {control_address(static_cast<std::size_t>(number)), ports[0]};
@@ -151,11 +152,12 @@
 
 void PlatformFleet::make_settings(int controls, int proxies) {
   const std::uint16_t internal = process::free_ports("127.0.0.1", 1)[0];
-  std::string seeds;
+  control_internal_port_ = internal;
+  std::vector<std::size_t> first;
   for (int number = 0; number < std::min(controls, 3); ++number) {
-    seeds += (number == 0 ? "\"" : ", \"") +
-             core::to_string(controls_[static_cast<std::size_t>(number)].http) + "\"";
+    first.push_back(static_cast<std::size_t>(number));
   }
+  const std::string seeds = seeds_of(first);
   for (std::size_t number = 0; number < controls_.size(); ++number) {
     write_control(number, seeds, internal);
     start(controls_[number], "pipitpond-platform-control", {"--cluster.bootstrap=true"});
@@ -229,6 +231,27 @@
   start(controls_.at(number), "pipitpond-platform-control");
 }
 
+std::string PlatformFleet::seeds_of(const std::vector<std::size_t>& controls) const {
+  std::string seeds;
+  for (const std::size_t number : controls) {
+    const core::Endpoint http{control_address(number), control_http_port_};
+    seeds += (seeds.empty() ? "\"" : ", \"") + core::to_string(http) + "\"";
+  }
+  return seeds;
+}
+
+void PlatformFleet::add_control(const std::vector<std::size_t>& seeds) {
+  const std::size_t number = controls_.size();
+  controls_.emplace_back();
+  controls_.back().http = {control_address(number), control_http_port_};
+  write_control(number, seeds_of(seeds), control_internal_port_);
+  restart_control(number);
+}
+
+void PlatformFleet::set_control_seeds(std::size_t number, const std::vector<std::size_t>& seeds) {
+  write_control(number, seeds_of(seeds), control_internal_port_);
+}
+
 void PlatformFleet::lose_disk(std::size_t control) {
   std::error_code ignored;
   std::filesystem::remove_all(folder_ / ("data-" + std::to_string(control)), ignored);
--- a/tests/platform_support/platform_fleet.hpp
+++ b/tests/platform_support/platform_fleet.hpp
@@ -78,6 +78,10 @@
   process::Child& proxy(std::size_t number) { return *proxies_.at(number).child; }
   process::Child& control(std::size_t number) { return *controls_.at(number).child; }
   void restart_control(std::size_t number);
+  /// Starts another, empty control machine, whose settings name these machines.
+  void add_control(const std::vector<std::size_t>& seeds);
+  /// Writes the settings of a control machine anew; it is not told of it.
+  void set_control_seeds(std::size_t number, const std::vector<std::size_t>& seeds);
   void restart_proxy(std::size_t number);
   /// Removes a control replica's data. It must not run.
   void lose_disk(std::size_t control);
@@ -102,6 +106,7 @@
   };
 
   void make_settings(int controls, int proxies);
+  [[nodiscard]] std::string seeds_of(const std::vector<std::size_t>& controls) const;
   void write_control(std::size_t number, const std::string& seeds, std::uint16_t internal);
   void write_proxy(std::size_t number, const std::string& seeds, std::uint16_t internal);
   void start(Member& member, const char* program, const std::vector<std::string>& more = {});
@@ -110,6 +115,8 @@
   std::filesystem::path folder_;
   std::unique_ptr<platform_stage::Service> service_;
   core::Endpoint promotion_;
+  std::uint16_t control_http_port_ = 0;
+  std::uint16_t control_internal_port_ = 0;
   std::vector<Member> controls_;
   std::vector<Member> proxies_;
   std::chrono::milliseconds clock_shift_{0};
