--- a/src/control/options.cpp
+++ b/src/control/options.cpp
@@ -9,6 +9,7 @@
 
 constexpr settings::Range kMillis{1, 60'000};
 /// Daemons renew their leases twice a second.
+constexpr settings::Range kToleratedLosses{1, 4};
 constexpr settings::Range kLeaseMillis{1'200, 60'000};
 
 }  // namespace
@@ -40,6 +41,9 @@
   section_.text("cluster.name", options_.cluster, "Name of the fleet; the same on all control machines");
   section_.boolean("cluster.bootstrap", options_.bootstrap,
                    "Found the cluster if the data folder is empty; for the first start of a new fleet only");
+  section_.integer("cluster.tolerated_losses", options_.tolerated_losses, kToleratedLosses,
+                   "Control disks that may be lost at once; silent replicas are removed only as far as the "
+                   "others can bear that");
   section_.text("data.folder", options_.data_folder, "Folder for the log and snapshots; its disk must sync")
       .required();
   section_.endpoint("listen.internal", options_.internal, "Address for daemons and control replicas")
--- a/src/control/options.hpp
+++ b/src/control/options.hpp
@@ -37,6 +37,8 @@
   std::vector<Peer> peers;
   /// Machines that `peers` does not name join by themselves; silent ones are removed.
   bool open_membership = false;
+  /// Disks that may be lost at once.
+  std::uint32_t tolerated_losses = 1;
   /// Founds the cluster when the disk is empty and no peer knows of one. Otherwise an empty disk joins.
   bool bootstrap = false;
   std::optional<core::Endpoint> platform;
--- a/src/raft/config.hpp
+++ b/src/raft/config.hpp
@@ -43,6 +43,9 @@
   /// With open membership: a voter that was not heard for this long is removed, so that machines that are
   /// gone for good do not add up to a majority. It joins again if it returns.
   core::Duration remove_silent_after = std::chrono::seconds(6);
+  /// With open membership: silent voters are removed down to this many, which must bear the loss of as many
+  /// disks at once as the fleet is to bear.
+  std::size_t least_voters = 3;
   Mechanisms mechanisms;
 };
 
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Silent voters are removed down to this many.
-constexpr std::size_t kLeastVotersKept = 3;
 /// In units of the longest election timeout: how long a new leader takes members for alive that have not
 /// answered it yet.
 constexpr int kTimeToAnswer = 2;
@@ -182,7 +180,7 @@
 bool Node::can_spare_one() const {
   // The others must stand by themselves, also without one more of them.
   const std::size_t left = membership().voter_count() - 1;
-  return left >= kLeastVotersKept && voters_in_contact() > left / 2 + 1;
+  return left >= config_.least_voters && voters_in_contact() > left / 2 + 1;
 }
 
 void Node::remove_member(Member removed, MembershipReason reason) {
--- a/tests/raft/cluster.hpp
+++ b/tests/raft/cluster.hpp
@@ -55,6 +55,7 @@
     config.cluster = "test";
     config.trailing_entries = 2;
     config.open_membership = open_membership_;
+    config.least_voters = least_voters_;
     config.mechanisms = mechanisms_;
     const auto seed = ++seed_;
     auto applied = split(disk.snapshot.state);
@@ -68,6 +69,14 @@
   Node& node(const core::ControlId& id) { return replicas_.at(id).node; }
 
   void cut(const core::ControlId& id) { cut_.insert(id); }
+  [[nodiscard]] bool is_cut(const core::ControlId& id) const { return cut_.count(id) > 0; }
+  /// Restarts all replicas with this setting.
+  void set_least_voters(std::size_t least_voters) {
+    least_voters_ = least_voters;
+    std::vector<core::ControlId> all;
+    for (const auto& [id, each] : replicas_) all.push_back(id);
+    for (const auto& id : all) restart(id);
+  }
   void heal(const core::ControlId& id) { cut_.erase(id); }
 
   /// Lets time pass in steps of 10 ms until the condition holds; false when it does not in time.
@@ -199,6 +208,7 @@
   std::set<core::ControlId> cut_;
   std::uint64_t seed_ = 0;
   bool open_membership_ = false;
+  std::size_t least_voters_ = Config().least_voters;
   Mechanisms mechanisms_;
 };
 
--- a/tests/raft/membership_test.cpp
+++ b/tests/raft/membership_test.cpp
@@ -277,6 +277,23 @@
   EXPECT_EQ(cluster.elect().membership().voter_count(), 6U);
 }
 
+TEST(OpenMembership, MembersThatFallSilentOneByOneLeaveAsManyAsTwoLostDisksNeed) {
+  constexpr std::size_t kVotersForTwoLosses = 5;
+  Cluster cluster(9, true);
+  cluster.set_least_voters(kVotersForTwoLosses);
+  ASSERT_TRUE(cluster.commit("a"));
+  for (int gone = 0; gone < 5; ++gone) {
+    const auto leader = cluster.elect().config().id;
+    const auto& members = cluster.elect().membership().members;
+    const auto silent = std::find_if(members.begin(), members.end(), [&](const Member& each) {
+      return each.id != leader && !cluster.is_cut(each.id);
+    });
+    cluster.cut(silent->id);
+    cluster.run_for(milliseconds(10'000));
+  }
+  EXPECT_EQ(cluster.elect().membership().voter_count(), kVotersForTwoLosses);
+}
+
 TEST(OpenMembership, VotersOfASmallerPartThatIsCutOffStay) {
   Cluster cluster(5, true);
   ASSERT_TRUE(cluster.commit("a"));
