A newcomer that is gone before it votes is removed like a silent voter

Found by reading: a machine that was let in and lost before it had caught up stayed a learner for good. It counts in no majority, but it kept the place of the silent voter for which it was let in, so that the next newcomer could not have it.

Two comments told of their tuning; they say what they guard against.

--- a/src/raft/node_joining.cpp
+++ b/src/raft/node_joining.cpp
@@ -78,10 +78,9 @@
   }
   // At the place of a known member the newcomer stands in its stead, provided that the known one is silent:
   // as long as makes a follower doubt its leader, for a member that lives answers several heartbeats in that
-  // time. A longer wait, counted anew by each leader, can outlast them all: with four of the longest election
-  // timeouts a replica that had lost its disk was a voter again after 2,500 ms of a leader's reign, now after
-  // 500, measured in virtual time by a test; a second disk that is lost meanwhile leaves no majority. Letting
-  // it in early is safe: it is a learner, which counts in no majority, until it holds all that is committed.
+  // time. A longer wait can outlast a short reign, and a second disk that is lost meanwhile leaves no
+  // majority. Letting it in early is safe: it is a learner, which counts in no majority, until it holds all
+  // that is committed.
   if (same_place->id == config_.id) return JoinRefusal::kPlaceIsTaken;
   if (silence_of(same_place->id) < config_.election_timeout_min) return JoinRefusal::kPlaceIsTaken;
   const auto& known = *same_place;
--- a/src/raft/node_leader.cpp
+++ b/src/raft/node_leader.cpp
@@ -74,10 +74,8 @@
   send_entries(to, progress, heartbeat);
 }
 
-// What a member has not answered is not sent again: a member behind a cut would be sent up to an append's
-// worth with every heartbeat. Control's peak memory rose from 3 to 67 MB within 4 s of a cut, measured on
-// a fleet of 29 machines; now it queues at most one append, or kReplicate's window,
-// for each.
+// What a member has not answered is not sent again, so that at most one append, or kReplicate's window, is
+// queued for a member behind a cut, and not another one with every heartbeat.
 void Node::send_entries(const core::ControlId& to, Progress& progress, bool heartbeat) {
   const bool probing = progress.state == ReplicationState::kProbe;
   do {
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -87,6 +87,10 @@
 core::Duration Node::silence_of(const core::ControlId& id) const {
   if (id == config_.id) return core::Duration::zero();
   if (const auto contact = last_contact(id)) return now_ - *contact;
+  const auto progress = progress_.find(id);
+  const bool came_in_this_reign =
+      progress != progress_.end() && progress->second.followed_since > leader_since_;
+  if (came_in_this_reign) return now_ - progress->second.followed_since;
   // Members that live need a moment to answer a new leader.
   const auto reign = now_ - leader_since_;
   if (reign < kTimeToAnswer * config_.election_timeout_max) return reign;
@@ -113,6 +117,7 @@
     if (member.id == config_.id || progress_.count(member.id) > 0) continue;
     Progress progress;
     progress.next = log_.last_index() + 1;
+    progress.followed_since = now_;
     progress_.emplace(member.id, progress);
   }
   if (membership_change_pending()) return;
@@ -167,10 +172,12 @@
 }
 
 bool Node::remove_a_silent() {
-  if (!config_.open_membership || !can_spare_one()) return false;
+  if (!config_.open_membership) return false;
+  const bool can_spare_a_voter = can_spare_one();
   for (const auto& member : membership().members) {
     const bool votes = member.role == MemberRole::kVoter;
-    if (!votes || silence_of(member.id) < config_.remove_silent_after) continue;
+    if (votes && !can_spare_a_voter) continue;
+    if (silence_of(member.id) < config_.remove_silent_after) continue;
     remove_member(member, MembershipReason::kSilent);
     return true;
   }
--- a/src/raft/progress.hpp
+++ b/src/raft/progress.hpp
@@ -37,6 +37,7 @@
   /// When the greatest answered round was sent; empty: none in this reign.
   std::optional<core::Instant> acknowledged_sent;
   std::optional<core::Instant> last_contact;  ///< When the last answer arrived.
+  core::Instant followed_since{};             ///< When it became a member, or its leader a leader.
   /// Learner: its log has been seen to be as long as the leader's was at that moment.
   bool caught_up = false;
 
--- a/tests/raft/membership_test.cpp
+++ b/tests/raft/membership_test.cpp
@@ -262,6 +262,24 @@
   EXPECT_TRUE(cluster.elect().membership().find(replica(6))->replaces.empty());
 }
 
+TEST(OpenMembership, ANewcomerThatIsGoneBeforeItVotesDoesNotStay) {
+  Cluster cluster(5, true);
+  ASSERT_TRUE(cluster.commit("a"));
+  cluster.elect().step(cluster.now, Message{"test", replica(6), {}, 0, JoinRequest{member(replica(6))}});
+  ASSERT_NE(cluster.elect().membership().find(replica(6)), nullptr);
+  cluster.run_for(milliseconds(8'000));
+  EXPECT_EQ(cluster.elect().membership().find(replica(6)), nullptr);
+}
+
+TEST(OpenMembership, ANewcomerThatIsSlowToAnswerStaysUnderALeaderOfLongStanding) {
+  Cluster cluster(5, true);
+  ASSERT_TRUE(cluster.commit("a"));
+  cluster.run_for(milliseconds(20'000));
+  cluster.elect().step(cluster.now, Message{"test", replica(6), {}, 0, JoinRequest{member(replica(6))}});
+  cluster.run_for(milliseconds(4'000));
+  EXPECT_NE(cluster.elect().membership().find(replica(6)), nullptr);
+}
+
 TEST(OpenMembership, AVoterThatIsHeardAgainKeepsItsPlaceBesideTheNewcomer) {
   Cluster cluster(5, true);
   ASSERT_TRUE(cluster.commit("a"));
