Sight: who vouched for a proxy's configuration, and which route tables control took or refused

The logs could not tell on whose word a proxy obeys a version, nor what control answered an operator. New: proven= and from= in a proxy's revision_in_force, event=configuration_proven, a gauge, and control's event=routes_acknowledged and event=routes_refused. No change of logic.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -119,6 +119,7 @@
 
   void on_heartbeat_reply(const core::Endpoint& from, const protocol::HeartbeatReply& reply) override {
     session_.on_heartbeat_reply(core::BootClock::now(), from, reply);
+    log_first_proof();
     carry_out();
   }
   void on_heartbeat_failed(const core::Endpoint& from, std::uint64_t sequence) override {
@@ -142,7 +143,7 @@
     const protocol::FetchReply* fetched =
         session_.take_fetch_reply(core::BootClock::now(), std::move(answer.reply));
     if (fetched != nullptr) {
-      store_and_apply(*fetched);
+      store_and_apply(from, *fetched);
     }
     carry_out();
   }
@@ -194,19 +195,32 @@
   }
 
   /// On disk first: a restart must not fall back behind a revision that was in force.
-  void store_and_apply(const protocol::FetchReply& fetched) {
+  void store_and_apply(const core::Endpoint& from, const protocol::FetchReply& fetched) {
     if (!store(fetched)) {
       session_.drop_fetched(core::BootClock::now());
       return;
     }
     session_.apply_fetched(core::BootClock::now());
-    log_->info("event=revision_in_force revision={}", session_.configuration().revision);
+    log_->info("event=revision_in_force revision={} from={} proven={}", session_.configuration().revision,
+               core::to_string(from), session_.configuration_proven());
+    log_first_proof();
     const std::vector<ChangeCallback> callbacks = callbacks_;
     for (const ChangeCallback& callback : callbacks) {
       callback(session_.configuration());
     }
   }
 
+  /// Tells from when on the configuration rests on a leader's word.
+  void log_first_proof() {
+    if (first_proof_logged_ || !session_.configuration_proven()) {
+      return;
+    }
+    first_proof_logged_ = true;
+    log_->info("event=configuration_proven revision={} leader={} after_ms={}",
+               session_.configuration().revision, core::to_string(session_.leader_guess()),
+               core::to_millis(core::BootClock::now() - started_));
+  }
+
   bool store(const protocol::FetchReply& fetched) {
     if (!store_) {
       return true;
@@ -227,6 +241,8 @@
   std::shared_ptr<ControlCalls> calls_;
   std::unique_ptr<wire::DatagramListener> announcements_;
   std::vector<ChangeCallback> callbacks_;
+  core::Instant started_ = core::BootClock::now();
+  bool first_proof_logged_ = false;
 };
 
 class AgentImplementation : public Agent {
--- a/src/agent/session.hpp
+++ b/src/agent/session.hpp
@@ -114,6 +114,9 @@
   /// while nothing proves it. A leader that is sure of its office named the revision in answer to a heartbeat
   /// that was sent then.
   [[nodiscard]] core::Instant complete_until() const { return complete_until_; }
+  /// True once a leader has proven the configuration complete at some moment of this life. Without that it
+  /// may lack changes that control acknowledged long before this daemon started.
+  [[nodiscard]] bool configuration_proven() const { return complete_until_ != core::Instant{}; }
   /// True once the configuration is as new as control's state at some moment of this life: a lease was
   /// granted on it, or a majority of the control replicas has told what it knows. One replica alone may have
   /// been out of touch for long before this daemon started.
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -11,6 +11,7 @@
 #include "control/daemon_service.hpp"
 #include "control/route_json.hpp"
 #include "control/status_json.hpp"
+#include "logging/logging.hpp"
 
 namespace pipitpond::control {
 namespace {
@@ -26,6 +27,10 @@
 
 constexpr std::uint32_t kOk = 200;
 
+void log_refused_routes(const core::Error& error) {
+  logging::logger("control")->warn("event=routes_refused reason={}", logging::field(error.message));
+}
+
 OperatorReply ok(const json& body) {
   return OperatorReply{200, dump(body)};
 }
@@ -78,6 +83,22 @@
       1000};
 }
 
+OperatorReply change_reply(const configuration::CommandResult& answer) {
+  if (answer.error) {
+    return error_reply(*answer.error, answer.current_revision);
+  }
+  return ok({{"revision", answer.revision}});
+}
+
+void log_route_answer(std::uint64_t version, const configuration::CommandResult& answer) {
+  if (answer.error) {
+    log_refused_routes(*answer.error);
+    return;
+  }
+  logging::logger("control")->info("event=routes_acknowledged version={} revision={} changed={}", version,
+                                   answer.revision, answer.changed);
+}
+
 /// Path prefix of notices that databases send: POST /v1/databases/ID/heartbeat and .../ID/leave.
 const std::string kDatabasesPath = "/v1/databases/";
 
@@ -275,11 +296,18 @@
 awaitable<OperatorReply> OperatorApi::put_routes(OperatorRequest request) {
   auto put = parse_put_routes(request.body);
   if (!put) {
+    log_refused_routes(put.error());
     co_return error_reply(put.error());
   }
   configuration::Command command;
+  const std::uint64_t version = put.value().table.version;
   command.operation = std::move(put.value());
-  co_return co_await propose_change(std::move(command));
+  const auto result = co_await replica_.propose(std::move(command), timeouts_.proposal);
+  if (!result) {
+    co_return error_reply(result.error());
+  }
+  log_route_answer(version, result.value());
+  co_return change_reply(result.value());
 }
 
 awaitable<OperatorReply> OperatorApi::read_routes() {
@@ -360,11 +388,7 @@
   if (!result) {
     co_return error_reply(result.error());
   }
-  const configuration::CommandResult& answer = result.value();
-  if (answer.error) {
-    co_return error_reply(*answer.error, answer.current_revision);
-  }
-  co_return ok({{"revision", answer.revision}});
+  co_return change_reply(result.value());
 }
 
 awaitable<OperatorReply> OperatorApi::change_members(core::Result<MemberRequest> request) {
--- a/src/pooling/metrics_page.cpp
+++ b/src/pooling/metrics_page.cpp
@@ -170,6 +170,8 @@
   gauge("ready", "1 while the daemon calls itself ready.", ready ? 1 : 0);
   gauge("lease_valid", "1 while control's lease is valid.",
         agent.lease_valid(core::BootClock::now()) ? 1 : 0);
+  gauge("configuration_proven", "1 once control's leader has proven the configuration complete in this life.",
+        agent.complete_until() != core::Instant{} ? 1 : 0);
   gauge("revision", "Revision of the configuration in force.", as_double(agent.configuration().revision));
   gauge("routes_version", "Version of the route table in force.",
         as_double(agent.configuration().routes.version));
