Refuse bodies that two readers read in two ways: NUL bytes, byte order marks, fields that stand twice

Callers saw: of two "Routes" the second, empty one was obeyed, so that every route was gone; operators read back bytes that their reader could not parse, acknowledged with 200.

Cause: control judges its own reading of a body, stores the bytes and hands the bytes out. The parser takes NUL for the end of the text, skips a byte order mark, and of two fields of one name takes the last; so what was judged was not what was stored. Class: what is checked is not what is stored and obeyed. Mended where all of control's bodies are read (strict_json, in parse_fields), so that heartbeats, policies, groups and zones are read so too.

Ruled out: writing anew what was read (other bytes than were sent would come back, and unknown fields could change).

Failed before: ControlRequestsTest.ABodyThatReadersReadInTwoWaysIsRefused (8 of 10 checks) and AHeartbeatThatReadersReadInTwoWaysIsRefused. Passed after.

--- a/src/control/json_fields.hpp
+++ b/src/control/json_fields.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "control/strict_json.hpp"
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 
@@ -46,13 +47,12 @@
 /// Parses a body as JSON and passes it to `read`, which may throw BadField. Fails with kInvalidArgument.
 template <typename Read>
 auto parse_fields(const std::string& body, Read read) -> core::Result<decltype(read(nlohmann::json{}))> {
-  const auto json = nlohmann::json::parse(body, nullptr, false);
-  if (json.is_discarded()) {
-    return core::fail(core::ErrorKind::kInvalidArgument, "The request body is not valid JSON.",
-                      "Send a JSON object as docs/API.md describes.");
+  const auto json = read_strict_json(body);
+  if (!json) {
+    return json.error();
   }
   try {
-    return read(json);
+    return read(json.value());
   } catch (const BadField& bad) {
     return core::fail(core::ErrorKind::kInvalidArgument, bad.message,
                       "Correct the field as docs/API.md describes.");
--- a/tests/platform/control_requests_test.cpp
+++ b/tests/platform/control_requests_test.cpp
@@ -56,6 +56,33 @@
   EXPECT_FALSE(put(R"({"Version":1,"Routes":[3],"Services":[]})").has_value());
 }
 
+std::string replaced(std::string text, const std::string& part, const std::string& by) {
+  return text.replace(text.find(part), part.size(), by);
+}
+
+TEST(ControlRequestsTest, ABodyThatReadersReadInTwoWaysIsRefused) {
+  const std::string whole = kConfiguration;
+  const std::string nul(1, '\0');
+  const std::string open_end = whole.substr(0, whole.size() - 1);
+  EXPECT_FALSE(put(whole + nul).has_value()) << "a parser may take NUL for the end";
+  EXPECT_FALSE(put(whole + nul + " garbage {{{").has_value());
+  EXPECT_FALSE(put(whole + " {}").has_value());
+  EXPECT_FALSE(put("\xEF\xBB\xBF" + whole).has_value()) << "byte order mark";
+  EXPECT_FALSE(put(open_end + R"(,"Routes":[]})").has_value()) << "which of the two?";
+  EXPECT_FALSE(put(open_end + R"(,"\u0052outes":[]})").has_value()) << "the same name, escaped";
+  EXPECT_FALSE(put(open_end + R"(,"Version":9})").has_value());
+  EXPECT_FALSE(put(open_end + R"(,"Later":{"a":[{"b":1,"b":1}]}})").has_value()) << "in a field unknown here";
+  EXPECT_FALSE(put(replaced(whole, R"("GoalMs")", R"("TimeoutMs":1,"GoalMs")")).has_value());
+  EXPECT_TRUE(put(open_end + R"(,"Later":[{"b":1},{"b":1}]})").has_value()) << "one name in two objects";
+}
+
+TEST(ControlRequestsTest, AHeartbeatThatReadersReadInTwoWaysIsRefused) {
+  const std::string body = R"({"Service":"s","Address":"10.1.0.9:8080","State":"draining","State":"ready"})";
+  const auto call = translate_request(post("/Instances.Heartbeat/i-1", body));
+  ASSERT_TRUE(call.has_value());
+  EXPECT_FALSE(control::parse_database_notice("i-1/heartbeat", call->request.body).has_value());
+}
+
 std::string with_tenants(const nlohmann::json& tenants) {
   auto whole = nlohmann::json::parse(kConfiguration);
   whole["Routes"][0]["Public"] = true;
