A proxy obeys no configuration before a leader of control has proven it complete in this life

Callers saw: proxies that start while control has no leader serve by version 10 after 15 was acknowledged, for as long as the rest of control stays away (15.4 s in our play): an old version, a route that had been added not served.

Cause: a proxy took the configuration of the first replica that answered and obeyed it. No replica can know what is acknowledged without a leader: at its start it has applied all but its newest batch, and one that lagged, lost its disk or was cut off has less. The majority that was counted ("a majority has told") counted replicas that had applied less than they hold, and only steered how often to ask. Class: only who can know is believed. Mended where the agent hands the configuration on: callbacks, Agent::configuration() and with them routes, keys, quotas, owners and primaries of both data planes see nothing before a leader that is sure of its quorum named a revision in answer to a heartbeat of this life and that revision is here. A configuration on disk waits for the same proof. Callers are refused at once meanwhile. Asking around stops when a majority has told, as before (asked_enough).

Two checks were of the fault itself and are replaced: SessionTest.AfterAStart... expected the configuration to be confirmed by two replicas without a leader (now: not proven, no more probes, proven by a leader's word); AgentTest.RestartsAtTheRevision... expected the stored configuration to be in force at once (now: not before the leader's word, and then without fetching).

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -12,6 +12,7 @@
 
 #include "agent/configuration_store.hpp"
 #include "agent/control_calls.hpp"
+#include "agent/proof_log.hpp"
 #include "agent/session.hpp"
 #include "logging/logging.hpp"
 #include "storage/durable_file.hpp"
@@ -68,7 +69,8 @@
         options_(options),
         session_(std::move(options), std::move(configuration)),
         log_(logging::logger("agent")),
-        calls_(std::make_shared<ControlCalls>(io, std::move(translate), log_)) {
+        calls_(std::make_shared<ControlCalls>(io, std::move(translate), log_)),
+        proof_log_(log_, core::BootClock::now()) {
     calls_->set_answers(this);
   }
   ~Driver() override { calls_->close(); }
@@ -86,6 +88,10 @@
 
   Session& session() { return session_; }
   [[nodiscard]] const Session& session() const { return session_; }
+  /// The configuration that the daemon obeys: none until it was proven in this life.
+  [[nodiscard]] const protocol::Configuration& configuration() const {
+    return may_be_obeyed_ ? session_.configuration() : none_;
+  }
   void add_callback(ChangeCallback callback) { callbacks_.push_back(std::move(callback)); }
   [[nodiscard]] std::uint64_t incarnation() const { return options_.incarnation; }
   [[nodiscard]] const ControlCalls& calls() const { return *calls_; }
@@ -119,7 +125,7 @@
 
   void on_heartbeat_reply(const core::Endpoint& from, const protocol::HeartbeatReply& reply) override {
     session_.on_heartbeat_reply(core::BootClock::now(), from, reply);
-    log_first_proof();
+    publish();
     carry_out();
   }
   void on_heartbeat_failed(const core::Endpoint& from, std::uint64_t sequence) override {
@@ -179,6 +185,7 @@
     driver->session_.tick(now);
     driver->carry_out();
     driver->calls_->tick(now, driver->session_.configuration().revision);
+    driver->proof_log_.observe(now, driver->session_);
     return true;
   }
 
@@ -201,26 +208,27 @@
       return;
     }
     session_.apply_fetched(core::BootClock::now());
-    log_->info("event=revision_in_force revision={} from={} proven={}", session_.configuration().revision,
-               core::to_string(from), session_.configuration_proven());
-    log_first_proof();
+    const bool in_force = may_be_obeyed_ || session_.configuration_proven();
+    log_->info("event={} revision={} from={}", in_force ? "revision_in_force" : "revision_fetched",
+               session_.configuration().revision, core::to_string(from));
+    publish();
+  }
+
+  /// Hands on the configuration once it is proven in this life, and from then on each newer one.
+  void publish() {
+    proof_log_.observe(core::BootClock::now(), session_);
+    may_be_obeyed_ = may_be_obeyed_ || session_.configuration_proven();
+    const protocol::Revision revision = session_.configuration().revision;
+    if (!may_be_obeyed_ || revision == published_) {
+      return;
+    }
+    published_ = revision;
     const std::vector<ChangeCallback> callbacks = callbacks_;
     for (const ChangeCallback& callback : callbacks) {
       callback(session_.configuration());
     }
   }
 
-  /// Tells from when on the configuration rests on a leader's word.
-  void log_first_proof() {
-    if (first_proof_logged_ || !session_.configuration_proven()) {
-      return;
-    }
-    first_proof_logged_ = true;
-    log_->info("event=configuration_proven revision={} leader={} after_ms={}",
-               session_.configuration().revision, core::to_string(session_.leader_guess()),
-               core::to_millis(core::BootClock::now() - started_));
-  }
-
   bool store(const protocol::FetchReply& fetched) {
     if (!store_) {
       return true;
@@ -241,8 +249,10 @@
   std::shared_ptr<ControlCalls> calls_;
   std::unique_ptr<wire::DatagramListener> announcements_;
   std::vector<ChangeCallback> callbacks_;
-  core::Instant started_ = core::BootClock::now();
-  bool first_proof_logged_ = false;
+  ProofLog proof_log_;
+  bool may_be_obeyed_ = false;
+  protocol::Revision published_ = 0;  ///< Of the configuration that callbacks were called with last.
+  protocol::Configuration none_;
 };
 
 class AgentImplementation : public Agent {
@@ -269,7 +279,7 @@
   }
 
   [[nodiscard]] const protocol::Configuration& configuration() const override {
-    return driver_->session().configuration();
+    return driver_->configuration();
   }
   void on_change(ChangeCallback callback) override { driver_->add_callback(std::move(callback)); }
   [[nodiscard]] bool lease_valid(core::Instant now) const override {
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -39,7 +39,7 @@
   core::Duration standstill_limit = std::chrono::milliseconds(100);
 };
 
-/// Called after a newer configuration was synced to disk and applied.
+/// Called after a newer configuration was synced to disk and may be obeyed.
 using ChangeCallback = std::function<void(const protocol::Configuration&)>;
 
 /// One daemon's connection to control.
@@ -59,7 +59,9 @@
   /// the leader has acknowledged it or after `timeout`.
   virtual boost::asio::awaitable<void> depart(core::Duration timeout) = 0;
 
-  /// Last applied configuration; revision 0 before the first. The reference stays valid, the value changes.
+  /// The newest configuration that the daemon may obey. An empty one of revision 0 until a leader of control
+  /// has proven one complete in this life, also when an earlier life has stored one. The value changes with
+  /// each ChangeCallback.
   [[nodiscard]] virtual const protocol::Configuration& configuration() const = 0;
   /// Registers a callback. All are called in the order of registration.
   virtual void on_change(ChangeCallback callback) = 0;
--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -63,8 +63,8 @@
   if (fetched_.has_value() || now < next_fetch_) {
     return;
   }
-  if (!configuration_confirmed()) {
-    confirm_configuration(now);
+  if (!asked_enough()) {
+    ask_around(now);
     return;
   }
   if (fetching_) {
@@ -236,13 +236,13 @@
 
 void Session::on_control_announced(core::Instant now, const core::Endpoint& replica) {
   const bool known = std::find(control_.begin(), control_.end(), replica) != control_.end();
-  const bool wanted = !stopped_ && !configuration_confirmed() && !known && replica.port != 0;
+  const bool wanted = !stopped_ && !configuration_proven() && !known && replica.port != 0;
   if (!wanted || control_.size() >= kMostKnownReplicas) {
     return;
   }
   control_.push_back(replica);
-  if (!fetched_.has_value()) {
-    confirm_configuration(now);
+  if (!fetched_.has_value() && !asked_enough()) {
+    ask_around(now);
   }
 }
 
@@ -275,7 +275,7 @@
 
 void Session::on_probe_ended(core::Instant now, const core::Endpoint& from, bool answered) {
   probes_.erase(from);
-  const bool wanted = !informants_.contains(from) && !configuration_confirmed();
+  const bool wanted = !informants_.contains(from) && !asked_enough();
   if (answered && wanted) {
     heard_.insert(from);
     fetch_from_heard(now);
@@ -291,8 +291,7 @@
   fetch(now, next);
 }
 
-/// Without a lease or a majority of control, other replicas may know more.
-void Session::confirm_configuration(core::Instant now) {
+void Session::ask_around(core::Instant now) {
   next_fetch_ = now + kReplicaProbeInterval;
   const bool all_have_told = std::all_of(control_.begin(), control_.end(), [this](const auto& replica) {
     return informants_.contains(replica);
@@ -307,7 +306,7 @@
   fetch_from_heard(now);
 }
 
-bool Session::configuration_confirmed() const {
+bool Session::asked_enough() const {
   if (had_lease_) {
     return true;
   }
@@ -334,7 +333,7 @@
 }
 
 core::Duration Session::pause_without_news() const {
-  if (!configuration_confirmed()) {
+  if (!asked_enough()) {
     return kReplicaProbeInterval;
   }
   return newest_known_ > configuration_.revision ? kReplicaRetryPause : kIdleFetchInterval;
@@ -398,7 +397,7 @@
     send_heartbeat(now);
   }
   fetch_if_behind(now, leader_guess());
-  if (!configuration_confirmed()) {
+  if (!asked_enough()) {
     fetch_from_heard(now);
   }
 }
--- a/src/agent/session.hpp
+++ b/src/agent/session.hpp
@@ -76,7 +76,7 @@
                           const protocol::HeartbeatReply& reply);
   void on_heartbeat_failed(core::Instant now, const core::Endpoint& from, std::uint64_t sequence);
   void on_revision_notice(core::Instant now, const core::Endpoint& from, protocol::Revision revision);
-  /// A control replica says that it is up. Matters only until the configuration is confirmed.
+  /// A control replica says that it is up. Matters only until the configuration is proven.
   void on_control_announced(core::Instant now, const core::Endpoint& replica);
   void on_fetch_failed(core::Instant now, const core::Endpoint& from);
   /// A replica answered a fetch: what it knows is in the reply that is taken next. Call before
@@ -114,13 +114,11 @@
   /// while nothing proves it. A leader that is sure of its office named the revision in answer to a heartbeat
   /// that was sent then.
   [[nodiscard]] core::Instant complete_until() const { return complete_until_; }
-  /// True once a leader has proven the configuration complete at some moment of this life. Without that it
-  /// may lack changes that control acknowledged long before this daemon started.
+  /// True once configuration() was complete at some moment of this life, by a leader's word. No other replica
+  /// can know that: one that has just started, lags or lost its disk has not applied all that was
+  /// acknowledged, and what a majority of them has applied may lack it too. Do not obey the configuration
+  /// before.
   [[nodiscard]] bool configuration_proven() const { return complete_until_ != core::Instant{}; }
-  /// True once the configuration is as new as control's state at some moment of this life: a lease was
-  /// granted on it, or a majority of the control replicas has told what it knows. One replica alone may have
-  /// been out of touch for long before this daemon started.
-  [[nodiscard]] bool configuration_confirmed() const;
   [[nodiscard]] ownership::Budget allowed(const core::DatabaseId& database) const {
     return budgets_.allowed(database);
   }
@@ -152,7 +150,11 @@
   /// fetched from one after the other, so that only the first sends the whole configuration.
   void probe_all();
   void fetch_from_heard(core::Instant now);
-  void confirm_configuration(core::Instant now);
+  /// Asks the replicas that have not told yet what they know.
+  void ask_around(core::Instant now);
+  /// True once asking all replicas at short intervals brings nothing more: a lease was granted, or a majority
+  /// of them has told what it knows.
+  [[nodiscard]] bool asked_enough() const;
   void fetch(core::Instant now, const core::Endpoint& from);
   [[nodiscard]] core::Duration pause_without_news() const;
   [[nodiscard]] bool waits_for_admission(core::Instant now) const;
--- a/src/control_world/daemon.cpp
+++ b/src/control_world/daemon.cpp
@@ -43,6 +43,7 @@
   host_.start();
   fleet_.trace.line(id_.value(), "starts");
   session_ = std::make_unique<agent::Session>(session_options(), stored_configuration());
+  owed_at_start_ = fleet_.oracle.least_current();
   fleet_.oracle.on_daemon_applied(id_, session_->configuration());
   tick();
 }
@@ -83,7 +84,18 @@
   host_.after(agent::kSessionTick, [this] { tick(); });
 }
 
+/// What a daemon obeys was complete at some moment of its life: it lacks nothing that was answered before.
+void ControlDaemon::check_obeyed() {
+  if (!session_->configuration_proven()) return;
+  const auto revision = session_->configuration().revision;
+  fleet_.oracle.require(
+      revision >= owed_at_start_,
+      fmt::format("{} obeys revision {}, and revision {} had been answered before it started.", id_.value(),
+                  revision, owed_at_start_));
+}
+
 void ControlDaemon::carry_out_effects() {
+  check_obeyed();
   for (const auto& effect : session_->take_effects()) {
     std::visit([this](const auto& value) { carry_out(value); }, effect);
   }
--- a/src/control_world/daemon.hpp
+++ b/src/control_world/daemon.hpp
@@ -34,6 +34,7 @@
   using Call = std::shared_ptr<bool>;
 
   void tick();
+  void check_obeyed();
   void carry_out_effects();
   void carry_out(const agent::SendHeartbeat& effect);
   void carry_out(const agent::SendFetch& effect);
@@ -50,6 +51,7 @@
   simulation::SimulatedDisk disk_;
   std::vector<core::Endpoint> control_;
   std::unique_ptr<agent::Session> session_;
+  protocol::Revision owed_at_start_ = 0;  ///< Greatest revision that an operator had been answered.
 };
 
 }  // namespace pipitpond::control_world
--- a/tests/agent/agent_test.cpp
+++ b/tests/agent/agent_test.cpp
@@ -52,6 +52,7 @@
 
   [[nodiscard]] core::Endpoint endpoint() const { return core::Endpoint{"127.0.0.1", server_->port()}; }
   void set_leader(const core::Endpoint& leader) { leader_ = leader; }
+  void set_leading(bool leading) { leading_ = leading; }
   void commit() {
     protocol::Change change;
     change.revision = changes_.size() + 1;
@@ -62,6 +63,8 @@
     }
   }
   [[nodiscard]] std::size_t departures() const { return departures_; }
+  /// Revision that the last heartbeat said was applied.
+  [[nodiscard]] protocol::Revision applied() const { return applied_; }
   [[nodiscard]] const std::vector<protocol::SuspicionReport>& suspicions() const { return suspicions_; }
 
  private:
@@ -90,6 +93,7 @@
     reply.leader = leader_;
     if (leading_) {
       suspicions_ = heartbeat.suspicions;
+      applied_ = heartbeat.applied;
       reply.current = changes_.size();
       reply.lease_ms = static_cast<std::uint32_t>(core::to_millis(protocol::kDaemonLease));
     }
@@ -113,6 +117,7 @@
   std::vector<protocol::Change> changes_;
   std::vector<protocol::SuspicionReport> suspicions_;
   std::size_t departures_ = 0;
+  protocol::Revision applied_ = 0;
 };
 
 class AgentTest : public testing::Test {
@@ -168,9 +173,29 @@
   const std::uint64_t incarnation = agent->incarnation();
   agent.reset();
   agent = start_agent();
-  EXPECT_EQ(agent->configuration().revision, 1U);
   EXPECT_GT(agent->incarnation(), incarnation);
   EXPECT_FALSE(agent->lease_valid(core::BootClock::now()));
+  EXPECT_EQ(agent->configuration().revision, 0U) << "control may have changed it meanwhile";
+  ASSERT_TRUE(run_until([&] { return agent->configuration().revision == 1; }));
+  EXPECT_EQ(leader_.applied(), 1U) << "from disk, for nothing newer was to be fetched";
+}
+
+TEST_F(AgentTest, AConfigurationOnTheWordOfFollowersAloneIsNotObeyed) {
+  leader_.set_leading(false);
+  leader_.set_leader(core::Endpoint{});
+  follower_.set_leader(core::Endpoint{});
+  follower_.commit();
+  const auto agent = start_agent();
+  std::size_t changes = 0;
+  agent->on_change([&](const protocol::Configuration&) { ++changes; });
+  ASSERT_TRUE(run_until([&] { return agent->current_revision() == 1; })) << "a follower has told";
+  io_.run_for(std::chrono::seconds(1));
+  EXPECT_EQ(agent->configuration().revision, 0U);
+  EXPECT_EQ(changes, 0U);
+  leader_.set_leading(true);
+  follower_.set_leader(leader_.endpoint());
+  ASSERT_TRUE(run_until([&] { return agent->configuration().revision == 1; }));
+  EXPECT_EQ(changes, 1U);
 }
 
 TEST_F(AgentTest, SuspicionsReachTheLeader) {
--- a/tests/agent/session_test.cpp
+++ b/tests/agent/session_test.cpp
@@ -384,13 +384,22 @@
   }
   ASSERT_TRUE(session_.on_fetch_reply(now_, replica(2), reply).has_value());
   session_.apply_fetched(now_);
-  EXPECT_FALSE(session_.configuration_confirmed()) << "one replica may have been out of touch";
+  EXPECT_FALSE(session_.configuration_proven()) << "one replica may have been out of touch";
   taken_heartbeat();
   ASSERT_EQ(fetches_.size(), 2U);
   EXPECT_EQ(fetches_[1].to, replica(3));
   EXPECT_EQ(fetches_[1].request.after, 7U);
   EXPECT_FALSE(session_.on_fetch_reply(now_, replica(3), {}).has_value());
-  EXPECT_TRUE(session_.configuration_confirmed());
+  EXPECT_FALSE(session_.configuration_proven()) << "a majority without a leader may lack the last change";
+  probes_.clear();
+  tick_until(now_ + kIdleFetchInterval);
+  taken_heartbeat();
+  EXPECT_TRUE(probes_.empty()) << "a majority has told: there is nothing more to ask for";
+  const SendHeartbeat sent = next_heartbeat();
+  protocol::HeartbeatReply named = grant(sent);
+  named.current = 7;
+  session_.on_heartbeat_reply(now_, sent.to, named);
+  EXPECT_TRUE(session_.configuration_proven());
 }
 
 TEST_F(SessionTest, AReplicaThatAnnouncesItselfIsProbedAtOnceWhileTheNamedOnesAreSilent) {
--- a/tests/platform_support/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr core::Duration kCallTimeout = std::chrono::seconds(5);
+const std::string kSessionOpened = "READY I -";
+const std::string kUnknownDatabase = "ERR NODB";
 
 /// Each control machine has an IP number of its own, for seeds tell machines apart by it.
 std::string control_address(std::size_t number) {
@@ -28,14 +30,15 @@
 struct HttpCall {
   core::Endpoint endpoint;
   http::Request request;
+  core::Duration limit = kCallTimeout;  ///< To connect, and again for the answer.
 };
 
 awaitable<std::pair<unsigned, std::string>> exchange(boost::asio::io_context& io, HttpCall call) {
-  auto client = co_await http::Client::connect(io, call.endpoint, kCallTimeout);
+  auto client = co_await http::Client::connect(io, call.endpoint, call.limit);
   if (!client) {
     co_return std::make_pair(0U, std::string());
   }
-  auto response = co_await client.value()->send(std::move(call.request), kCallTimeout);
+  auto response = co_await client.value()->send(std::move(call.request), call.limit);
   if (!response) {
     co_return std::make_pair(0U, std::string());
   }
@@ -52,17 +55,21 @@
 }
 
 awaitable<bool> Caller::open_session(std::string database) {
-  auto stream = co_await net::LineStream::connect(io_, proxy_, kCallTimeout);
+  co_return co_await start_session(std::move(database), kCallTimeout) == kSessionOpened;
+}
+
+awaitable<std::string> Caller::start_session(std::string database, core::Duration limit) {
+  auto stream = co_await net::LineStream::connect(io_, proxy_, limit);
   if (!stream) {
-    co_return false;
+    co_return std::string();
   }
   lines_ = std::move(stream.value());
-  lines_->set_deadline(kCallTimeout);
+  lines_->set_deadline(limit);
   std::string start = "START " + database + " tester\r\n";
   (void)co_await lines_->write(std::move(start));
   const auto line = co_await lines_->read_line();
   lines_->clear_deadline();
-  co_return line&& line.value() == "READY I -";
+  co_return line ? line.value() : std::string();
 }
 
 Answer Caller::query(const std::string& text) {
@@ -163,7 +170,11 @@
     start(controls_[number], "pipitpond-platform-control", {"--cluster.bootstrap=true"});
   }
   for (std::size_t number = 0; number < static_cast<std::size_t>(proxies); ++number) {
-    write_proxy(number, seeds, internal);
+    const auto ports = process::free_ports("127.0.0.1", 3);
+    proxies_[number].callers = {"127.0.0.1", ports[0]};
+    proxies_[number].http = {"127.0.0.1", ports[1]};
+    proxies_[number].internal = {"127.0.0.1", ports[2]};
+    write_proxy(number, seeds);
     start(proxies_[number], "pipitpond-platform-proxy");
   }
 }
@@ -181,17 +192,14 @@
        << "[lease]\nduration_ms = 1500\n";
 }
 
-void PlatformFleet::write_proxy(std::size_t number, const std::string& seeds, std::uint16_t internal) {
-  Member& member = proxies_[number];
-  const auto ports = process::free_ports("127.0.0.1", 3);
-  member.callers = {"127.0.0.1", ports[0]};
-  member.http = {"127.0.0.1", ports[1]};
+void PlatformFleet::write_proxy(std::size_t number, const std::string& seeds) {
+  Member& member = proxies_.at(number);
   member.settings = folder_ / ("proxy-" + std::to_string(number) + ".toml");
   std::ofstream file(member.settings);
   file << "[node]\nid = \"proxy-" << number << "\"\nzone = \"stage\"\n"
-       << "[listen]\ncallers = \"127.0.0.1:" << ports[0] << "\"\nadmin = \"127.0.0.1:" << ports[1]
-       << "\"\ninternal = \"127.0.0.1:" << ports[2] << "\"\n"
-       << "[control]\nseeds = [" << seeds << "]\ninternal_port = " << internal << "\n"
+       << "[listen]\ncallers = \"" << core::to_string(member.callers) << "\"\nadmin = \""
+       << core::to_string(member.http) << "\"\ninternal = \"" << core::to_string(member.internal) << "\"\n"
+       << "[control]\nseeds = [" << seeds << "]\ninternal_port = " << control_internal_port_ << "\n"
        << "[admin]\nready_path = \"/ready\"\n";
 }
 
@@ -207,6 +215,7 @@
     setenv("LD_PRELOAD", clock_library, 1);
     setenv("SOAK_CLOCK_SHIFT_MS", std::to_string(clock_shift_.count()).c_str(), 1);
   }
+  member.started = core::BootClock::now();
   auto child = process::Child::start(options);
   if (shifted) {
     unsetenv("LD_PRELOAD");
@@ -252,6 +261,10 @@
   write_control(number, seeds_of(seeds), control_internal_port_);
 }
 
+void PlatformFleet::set_proxy_seeds(std::size_t number, const std::vector<std::size_t>& seeds) {
+  write_proxy(number, seeds_of(seeds));
+}
+
 void PlatformFleet::lose_disk(std::size_t control) {
   std::error_code ignored;
   std::filesystem::remove_all(folder_ / ("data-" + std::to_string(control)), ignored);
@@ -261,11 +274,12 @@
   start(proxies_.at(number), "pipitpond-platform-proxy");
 }
 
-std::string PlatformFleet::configuration(std::uint64_t version, unsigned timeout_millis) const {
+std::string PlatformFleet::configuration(std::uint64_t version, unsigned timeout_millis,
+                                         const std::vector<std::string>& more_names) const {
   using nlohmann::json;
   json routes = json::array();
-  const auto route = [&](const char* host, const char* kind, unsigned staleness) {
-    routes.push_back({{"Name", std::string("r-") + host},
+  const auto route = [&](const std::string& host, const char* kind, unsigned staleness) {
+    routes.push_back({{"Name", "r-" + host},
                       {"Host", host},
                       {"PathPrefix", "/"},
                       {"Kind", kind},
@@ -278,6 +292,9 @@
   route("writes", "primary", 0);
   route("board", "bounded", 1500);
   route("own", "session", 2500);
+  for (const std::string& name : more_names) {
+    route(name, "primary", 0);
+  }
   const json body = {{"Version", version},
                      {"Routes", routes},
                      {"Services", json::array({{{"Name", "plates"}, {"MaxConns", 32}, {"SyncReplicas", 1}}})},
@@ -335,6 +352,23 @@
   return call(controls_.at(number).http, method, path, body);
 }
 
+awaitable<std::pair<unsigned, std::string>> PlatformFleet::ask_control(std::size_t number,
+                                                                       http::Request request,
+                                                                       core::Duration limit) {
+  HttpCall call{controls_.at(number).http, std::move(request), limit};
+  co_return co_await exchange(io_, std::move(call));
+}
+
+awaitable<std::optional<bool>> PlatformFleet::knows_database(std::size_t proxy, std::string database,
+                                                             core::Duration limit) {
+  Caller caller(io_, proxies_.at(proxy).callers);
+  const std::string line = co_await caller.start_session(std::move(database), limit);
+  if (line == kSessionOpened) {
+    co_return true;
+  }
+  co_return line.starts_with(kUnknownDatabase) ? std::optional(false) : std::nullopt;
+}
+
 bool PlatformFleet::ready(std::size_t proxy) {
   return call(proxies_.at(proxy).http, "GET", "/ready", "").first == 200;
 }
@@ -342,7 +376,7 @@
 std::pair<unsigned, std::string> PlatformFleet::call(const core::Endpoint& endpoint,
                                                      const std::string& method, const std::string& path,
                                                      const std::string& body) {
-  HttpCall call{endpoint, {}};
+  HttpCall call{endpoint, {}, kCallTimeout};
   call.request.method = method;
   call.request.path = path;
   call.request.body = body;
--- a/tests/platform_support/platform_fleet.hpp
+++ b/tests/platform_support/platform_fleet.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "core/clock.hpp"
+#include "http/message.hpp"
 #include "net/line_stream.hpp"
 #include "platform_stage/service.hpp"
 #include "process/child.hpp"
@@ -40,6 +42,8 @@
 
   /// The same as open() and query(), beside other work of the io_context.
   boost::asio::awaitable<bool> open_session(std::string database);
+  /// The line that a proxy answers to a START; empty when none came in time.
+  boost::asio::awaitable<std::string> start_session(std::string database, core::Duration limit);
   boost::asio::awaitable<Answer> ask(std::string text);
 
  private:
@@ -69,19 +73,30 @@
   /// Status and body of a request to a control replica.
   std::pair<unsigned, std::string> call_control(std::size_t number, const std::string& method,
                                                 const std::string& path, const std::string& body);
+  /// The same beside other work of the io_context; status 0 when no answer came within `limit`.
+  boost::asio::awaitable<std::pair<unsigned, std::string>> ask_control(std::size_t number,
+                                                                       http::Request request,
+                                                                       core::Duration limit);
   [[nodiscard]] bool ready(std::size_t proxy);
+  /// Whether a proxy has a route to a database; empty when no answer was clear.
+  boost::asio::awaitable<std::optional<bool>> knows_database(std::size_t proxy, std::string database,
+                                                             core::Duration limit);
   /// Where a proxy takes callers.
   [[nodiscard]] const core::Endpoint& callers(std::size_t proxy) const { return proxies_.at(proxy).callers; }
 
   boost::asio::io_context& io() { return io_; }
   platform_stage::Service& service() { return *service_; }
   process::Child& proxy(std::size_t number) { return *proxies_.at(number).child; }
+  /// When the process that runs now was started, or was about to be.
+  [[nodiscard]] core::Instant proxy_started(std::size_t number) const { return proxies_.at(number).started; }
   process::Child& control(std::size_t number) { return *controls_.at(number).child; }
   void restart_control(std::size_t number);
   /// Starts another, empty control machine, whose settings name these machines.
   void add_control(const std::vector<std::size_t>& seeds);
   /// Writes the settings of a control machine anew; it is not told of it.
   void set_control_seeds(std::size_t number, const std::vector<std::size_t>& seeds);
+  /// The same for a proxy.
+  void set_proxy_seeds(std::size_t number, const std::vector<std::size_t>& seeds);
   void restart_proxy(std::size_t number);
   /// Removes a control replica's data. It must not run.
   void lose_disk(std::size_t control);
@@ -95,20 +110,24 @@
   [[nodiscard]] const std::filesystem::path& folder() const { return folder_; }
   /// Files with the logs of all processes.
   [[nodiscard]] std::vector<std::filesystem::path> logs() const;
-  [[nodiscard]] std::string configuration(std::uint64_t version, unsigned timeout_millis = 2000) const;
+  /// The body of a change: the routes "writes", "board" and "own", and one to each further database name.
+  [[nodiscard]] std::string configuration(std::uint64_t version, unsigned timeout_millis = 2000,
+                                          const std::vector<std::string>& more_names = {}) const;
 
  private:
   struct Member {
     std::filesystem::path settings;
     std::unique_ptr<process::Child> child;
+    core::Instant started;
     core::Endpoint http;
     core::Endpoint callers;
+    core::Endpoint internal;
   };
 
   void make_settings(int controls, int proxies);
   [[nodiscard]] std::string seeds_of(const std::vector<std::size_t>& controls) const;
   void write_control(std::size_t number, const std::string& seeds, std::uint16_t internal);
-  void write_proxy(std::size_t number, const std::string& seeds, std::uint16_t internal);
+  void write_proxy(std::size_t number, const std::string& seeds);
   void start(Member& member, const char* program, const std::vector<std::string>& more = {});
 
   boost::asio::io_context io_;
