A deeply nested body is refused and ends no control process

Operators saw: a change with 200,000 arrays within one another, as Version or as a route's Name, got no answer, and the replica that took it ended with signal 11; sent again, as operators do, it ends the next one.

Cause: the body is parsed without recursion, but what was read is copied and written with it (translation into the product's words), and the stack ends. Class: what is read is trusted before it is checked. Mended in the strict reader, for all of control's bodies: nesting beyond 64 levels is refused while it is parsed, and not kept. Databases' heartbeats went the same way.

--- a/src/control/strict_json.cpp
+++ b/src/control/strict_json.cpp
@@ -20,10 +20,15 @@
                      "Send a JSON object as docs/API.md describes.", 0};
 }
 
-/// Follows the parser through a text and notes the first field that an object has twice.
-class RepeatedFieldFinder {
+/// Follows the parser through a text and notes what makes it one that readers differ on.
+class Inspector {
  public:
-  void on_event(json::parse_event_t event, const json& parsed) {
+  /// False: the value is not to be kept.
+  bool on_event(int depth, json::parse_event_t event, const json& parsed) {
+    too_deep_ = too_deep_ || depth > kMaxJsonDepth;
+    if (too_deep_) {
+      return false;
+    }
     if (event == json::parse_event_t::object_start) {
       fields_of_open_objects_.emplace_back();
     } else if (event == json::parse_event_t::object_end) {
@@ -31,7 +36,10 @@
     } else if (event == json::parse_event_t::key) {
       on_field(parsed.get_ref<const std::string&>());
     }
+    return true;
   }
+  [[nodiscard]] bool too_deep() const { return too_deep_; }
+  /// A field that an object has twice.
   [[nodiscard]] const std::optional<std::string>& repeated() const { return repeated_; }
 
  private:
@@ -44,6 +52,7 @@
 
   std::vector<std::set<std::string>> fields_of_open_objects_;
   std::optional<std::string> repeated_;
+  bool too_deep_ = false;
 };
 
 }  // namespace
@@ -55,17 +64,19 @@
   if (text.find('\0') != std::string_view::npos) {
     return unreadable("The text holds a NUL byte.");
   }
-  RepeatedFieldFinder finder;
-  const auto follow = [&finder](int /*depth*/, json::parse_event_t event, const json& parsed) {
-    finder.on_event(event, parsed);
-    return true;
+  Inspector inspector;
+  const auto inspect = [&inspector](int depth, json::parse_event_t event, const json& parsed) {
+    return inspector.on_event(depth, event, parsed);
   };
-  json value = json::parse(text, follow, false);
+  json value = json::parse(text, inspect, false);
+  if (inspector.too_deep()) {
+    return unreadable("The text nests deeper than " + std::to_string(kMaxJsonDepth) + " levels.");
+  }
   if (value.is_discarded()) {
     return unreadable("The text is not valid JSON.");
   }
-  if (finder.repeated()) {
-    return unreadable("An object has the field \"" + *finder.repeated() + "\" twice.");
+  if (inspector.repeated()) {
+    return unreadable("An object has the field \"" + *inspector.repeated() + "\" twice.");
   }
   return value;
 }
--- a/src/control/strict_json.hpp
+++ b/src/control/strict_json.hpp
@@ -9,9 +9,13 @@
 
 namespace pipitpond::control {
 
+/// Objects and arrays within one another. The messages of control have five; code that recurses over what was
+/// read, as copies and destructors do, bears many more.
+inline constexpr int kMaxJsonDepth = 64;
+
 /// Reads one JSON text in full. Fails with kInvalidArgument on what is no JSON in UTF-8, on anything behind
-/// the value, a byte order mark, a NUL byte (where the parser would take the text to end), and a field that
-/// an object has twice.
+/// the value, a byte order mark, a NUL byte (where the parser would take the text to end), a field that an
+/// object has twice, and nesting beyond kMaxJsonDepth.
 core::Result<nlohmann::json> read_strict_json(std::string_view text);
 
 }  // namespace pipitpond::control
--- a/tests/platform/control_requests_test.cpp
+++ b/tests/platform/control_requests_test.cpp
@@ -76,6 +76,19 @@
   EXPECT_TRUE(put(open_end + R"(,"Later":[{"b":1},{"b":1}]})").has_value()) << "one name in two objects";
 }
 
+TEST(ControlRequestsTest, ADeeplyNestedBodyIsRefusedAndEndsNoProcess) {
+  constexpr std::size_t kDeep = 200'000;
+  const std::string deep = std::string(kDeep, '[') + std::string(kDeep, ']');
+  const std::string whole = kConfiguration;
+  EXPECT_FALSE(put(replaced(whole, "7", deep)).has_value()) << "as Version";
+  EXPECT_FALSE(put(replaced(whole, R"("r-1")", deep)).has_value()) << "as a route's Name";
+  EXPECT_FALSE(put(replaced(whole, "true", deep)).has_value()) << "in a field unknown here";
+  EXPECT_FALSE(put(std::string(kDeep, '[')).has_value());
+  const auto call = translate_request(post("/Instances.Heartbeat/i-1", R"({"Zone":)" + deep + "}"));
+  ASSERT_TRUE(call.has_value());
+  EXPECT_FALSE(control::parse_database_notice("i-1/heartbeat", call->request.body).has_value());
+}
+
 TEST(ControlRequestsTest, AHeartbeatThatReadersReadInTwoWaysIsRefused) {
   const std::string body = R"({"Service":"s","Address":"10.1.0.9:8080","State":"draining","State":"ready"})";
   const auto call = translate_request(post("/Instances.Heartbeat/i-1", body));
