Limits that are no object are refused

Operators saw: a change whose Limits is a text, a number, null or a list is acknowledged and in force.

Cause: the adapter passes over Limits that it can't read, as if none were told; Routes and Services of a wrong type went to the product, which refuses them. Class: what is checked is not what is stored. Missing Limits stay valid: no page calls them invalid, and refusing a valid change would cost more.

--- a/tests/platform/control_requests_test.cpp
+++ b/tests/platform/control_requests_test.cpp
@@ -76,6 +76,17 @@
   EXPECT_TRUE(put(open_end + R"(,"Later":[{"b":1},{"b":1}]})").has_value()) << "one name in two objects";
 }
 
+TEST(ControlRequestsTest, LimitsThatAreNoObjectAreRefused) {
+  for (const char* wrong : {R"("x")", "5", "null", "[]", R"([{"TxIdleMs":3000}])", "true"}) {
+    auto whole = nlohmann::json::parse(kConfiguration);
+    whole["Limits"] = nlohmann::json::parse(wrong);
+    EXPECT_FALSE(put(whole.dump()).has_value()) << wrong;
+  }
+  auto whole = nlohmann::json::parse(kConfiguration);
+  whole.erase("Limits");
+  EXPECT_TRUE(put(whole.dump()).has_value()) << "none are told";
+}
+
 TEST(ControlRequestsTest, ADeeplyNestedBodyIsRefusedAndEndsNoProcess) {
   constexpr std::size_t kDeep = 200'000;
   const std::string deep = std::string(kDeep, '[') + std::string(kDeep, ']');
