A route without a prefix stands at the root, where a second one is refused

The adapter left the prefix out, and the product took that for a place of its own.

Failed before: ControlRequestsTest.TwoRoutesOfOneHostAtTheRootAreRefusedHoweverTheRootIsTold. Passed after.

--- a/tests/platform/control_requests_test.cpp
+++ b/tests/platform/control_requests_test.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "configuration/plan.hpp"
 #include "control/route_json.hpp"
 #include "tenancy/key_digest.hpp"
 
@@ -87,6 +88,17 @@
   EXPECT_TRUE(put(whole.dump()).has_value()) << "none are told";
 }
 
+TEST(ControlRequestsTest, TwoRoutesOfOneHostAtTheRootAreRefusedHoweverTheRootIsTold) {
+  auto whole = nlohmann::json::parse(kConfiguration);
+  whole["Routes"].push_back(whole["Routes"][0]);
+  whole["Routes"][1].erase("PathPrefix");
+  const auto table = put(whole.dump());
+  ASSERT_TRUE(table.has_value());
+  const protocol::Configuration empty;
+  const configuration::PlanContext context{empty, 0, {}};
+  EXPECT_TRUE(configuration::plan(context, table.value()).error.has_value());
+}
+
 TEST(ControlRequestsTest, ADeeplyNestedBodyIsRefusedAndEndsNoProcess) {
   constexpr std::size_t kDeep = 200'000;
   const std::string deep = std::string(kDeep, '[') + std::string(kDeep, ']');
