Control proves its newest revision to daemons without waiting for an election

Now a replica that knows no leader asks the voters for their term and the durable end of their logs. If a majority is in one term and their logs end with one entry of that term, the entry is committed and nothing behind it is (docs/design/consensus.md has the argument); the replica applies up to there and names its revision in its answer to the heartbeat. A minority, a lost disk, logs that end differently or a voter in another term show nothing: then the election decides, as before. Questions are not tied to terms, so that none unseats a leader.

Ruled out: hastening the election (voters' contacts guard leases), a majority of applied states (the fault itself).

--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -139,6 +139,8 @@
     return;  // A later heartbeat's answer came first: it tells all of this and newer.
   }
   if (!reply.from_leader) {
+    note_complete_revision(sent_at, reply.complete);
+    fetch_if_behind(now, from);
     follow_hint(now, reply.leader);
     return;
   }
@@ -153,8 +155,7 @@
   answered_ = reply.sequence;
   reply_delay_ = now - sent_at;
   take_control_list(reply.control);
-  newest_known_ = std::max(newest_known_, reply.current);
-  note_leaders_revision(sent_at, reply.current);
+  note_complete_revision(sent_at, reply.current);
   if (reply.lease_ms > 0) {
     lease_end_ = std::max(lease_end_, sent_at + std::chrono::milliseconds(reply.lease_ms));
     had_lease_ = true;
@@ -167,9 +168,13 @@
 }
 
 // A leader answers with a revision only once it has applied all that earlier leaders committed, and while a
-// majority stands by it: all that any leader acknowledged before the question was sent is part of that
-// revision.
-void Session::note_leaders_revision(core::Instant sent_at, protocol::Revision revision) {
+// majority stands by it; a replica without a leader only once a majority has shown it: all that any leader
+// acknowledged before the question was sent is part of that revision.
+void Session::note_complete_revision(core::Instant sent_at, protocol::Revision revision) {
+  if (revision == 0) {
+    return;
+  }
+  newest_known_ = std::max(newest_known_, revision);
   awaited_revisions_.emplace_back(revision, sent_at);
   if (awaited_revisions_.size() > kMostAwaitedRevisions) {
     awaited_revisions_.pop_front();
--- a/src/agent/session.hpp
+++ b/src/agent/session.hpp
@@ -111,11 +111,11 @@
     return now < lease_end_ && now - last_tick_ <= options_.standstill_limit;
   }
   /// Every change that control acknowledged before this moment is part of configuration(). The clock's epoch
-  /// while nothing proves it. A leader that is sure of its office named the revision in answer to a heartbeat
-  /// that was sent then.
+  /// while nothing proves it. A leader that is sure of its office, or a majority of control without a leader,
+  /// named the revision in answer to a heartbeat that was sent then.
   [[nodiscard]] core::Instant complete_until() const { return complete_until_; }
-  /// True once configuration() was complete at some moment of this life, by a leader's word. No other replica
-  /// can know that: one that has just started, lags or lost its disk has not applied all that was
+  /// True once configuration() was complete at some moment of this life, by complete_until(). A replica alone
+  /// can't know that: one that has just started, lags or lost its disk has not applied all that was
   /// acknowledged, and what a majority of them has applied may lack it too. Do not obey the configuration
   /// before.
   [[nodiscard]] bool configuration_proven() const { return complete_until_ != core::Instant{}; }
@@ -140,7 +140,7 @@
   [[nodiscard]] protocol::Heartbeat heartbeat();
   [[nodiscard]] core::Duration heartbeat_timeout() const;
   void send_heartbeat(core::Instant now);
-  void note_leaders_revision(core::Instant sent_at, protocol::Revision revision);
+  void note_complete_revision(core::Instant sent_at, protocol::Revision revision);
   void prove_complete();
   void notice_standstill(core::Instant now);
   void try_next_replica(core::Instant now);
@@ -183,7 +183,8 @@
   core::Instant lease_end_;
   core::Instant last_tick_;
   core::Instant complete_until_{};
-  /// Revisions that a leader named and that are not in force here yet, oldest first, and when it was asked.
+  /// Revisions that were named as complete and are not in force here yet, oldest first, and when it was
+  /// asked.
   std::deque<std::pair<protocol::Revision, core::Instant>> awaited_revisions_;
 
   protocol::Revision newest_known_ = 0;
--- a/src/control/daemon_service.cpp
+++ b/src/control/daemon_service.cpp
@@ -9,6 +9,14 @@
 using boost::asio::awaitable;
 using wire::MessageType;
 
+namespace {
+
+/// A few trips between zones. Without an answer by then a majority is not there or does not agree, and the
+/// daemon goes on to the next replica.
+constexpr core::Duration kLeaderlessReadTimeout = std::chrono::milliseconds(50);
+
+}  // namespace
+
 std::optional<core::Endpoint> leader_endpoint(const raft::Node& node) {
   if (!node.leader()) {
     return std::nullopt;
@@ -33,7 +41,7 @@
     case MessageType::kRaft:
       co_return on_raft(peer, body);
     case MessageType::kHeartbeat:
-      co_return on_heartbeat(peer, body);
+      co_return co_await on_heartbeat(peer, std::move(body));
     case MessageType::kFetch:
       co_return on_fetch(peer, body);
     case MessageType::kControlForward:
@@ -84,10 +92,10 @@
   return std::string();
 }
 
-core::Result<std::string> DaemonService::on_heartbeat(wire::PeerId peer, const std::string& body) {
+awaitable<core::Result<std::string>> DaemonService::on_heartbeat(wire::PeerId peer, std::string body) {
   const auto heartbeat = wire::unpack<protocol::Heartbeat>(body);
   if (!heartbeat) {
-    return heartbeat.error();
+    co_return heartbeat.error();
   }
   daemon_peers_.insert(peer);
   record_contact(heartbeat.value().daemon);
@@ -97,12 +105,19 @@
   if (replica_.leading()) {
     reply = duties_.on_heartbeat(heartbeat.value());
     reply.from_leader = true;
+  } else if (!replica_.node().leader()) {
+    reply.complete = co_await complete_revision();
   }
   reply.leader = leader_endpoint(replica_.node()).value_or(core::Endpoint{});
   for (const raft::Member& member : replica_.node().membership().members) {
     reply.control.push_back(member.internal);
   }
-  return wire::pack(reply);
+  co_return wire::pack(reply);
+}
+
+awaitable<protocol::Revision> DaemonService::complete_revision() {
+  const auto shown = co_await replica_.read_barrier_without_leader(kLeaderlessReadTimeout);
+  co_return shown ? replica_.machine().configuration().revision : 0;
 }
 
 core::Result<std::string> DaemonService::on_fetch(wire::PeerId peer, const std::string& body) {
--- a/src/control/daemon_service.hpp
+++ b/src/control/daemon_service.hpp
@@ -51,7 +51,9 @@
 
  private:
   core::Result<std::string> on_raft(wire::PeerId peer, const std::string& body);
-  core::Result<std::string> on_heartbeat(wire::PeerId peer, const std::string& body);
+  boost::asio::awaitable<core::Result<std::string>> on_heartbeat(wire::PeerId peer, std::string body);
+  /// Revision that holds every change acknowledged before the call, where no leader is known; 0: not shown.
+  boost::asio::awaitable<protocol::Revision> complete_revision();
   core::Result<std::string> on_fetch(wire::PeerId peer, const std::string& body);
   boost::asio::awaitable<core::Result<std::string>> on_forward(std::string body);
   boost::asio::awaitable<core::Result<std::string>> on_departure(std::string body);
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -108,11 +108,25 @@
   if (!asked) {
     co_return asked.error();
   }
+  co_return co_await wait_for_read(token, reads_, timeout);
+}
+
+boost::asio::awaitable<core::Result<void>> Replica::read_barrier_without_leader(core::Duration timeout) {
+  if (disk_full()) {
+    co_return disk_full_error();
+  }
+  const raft::ReadToken token = next_read_token_++;
+  node_.read_without_leader(core::BootClock::now(), token);
+  co_return co_await wait_for_read(token, leaderless_reads_, timeout);
+}
+
+boost::asio::awaitable<core::Result<void>> Replica::wait_for_read(raft::ReadToken token, PendingReads& reads,
+                                                                  core::Duration timeout) {
   auto completion = std::make_shared<ReadCompletion>(io_);
-  reads_[token] = completion;
+  reads[token] = completion;
   schedule_processing();
   auto result = co_await ReadCompletion::wait(completion, timeout);
-  reads_.erase(token);
+  reads.erase(token);
   if (!result) {
     co_return core::fail(core::ErrorKind::kTimeout, "No majority of the control replicas answered in time.",
                          "Ask another control replica, or see docs/operators/control-quorum-loss.md.", 500);
@@ -262,9 +276,11 @@
 }
 
 void Replica::finish_read(raft::ReadToken token, core::Result<void> result) {
-  const auto found = reads_.find(token);
-  if (found != reads_.end()) {
-    found->second->deliver(std::move(result));
+  for (PendingReads* reads : {&reads_, &leaderless_reads_}) {
+    const auto found = reads->find(token);
+    if (found != reads->end()) {
+      found->second->deliver(result);
+    }
   }
 }
 
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -62,6 +62,9 @@
   /// Waits until this replica has applied every entry that was committed before the call (a linearizable
   /// read). After an error, such as kNotLeader or kTimeout, the state must not be served as current.
   boost::asio::awaitable<core::Result<void>> read_barrier(core::Duration timeout);
+  /// The same at a replica that knows no leader, as far as a majority of the voters shows that nothing newer
+  /// was committed.
+  boost::asio::awaitable<core::Result<void>> read_barrier_without_leader(core::Duration timeout);
   /// Adds or removes one member. Returns when the change is in the leader's log, before it is committed.
   core::Result<void> change_membership(const raft::MembershipChange& change);
   /// Starts a transfer of leadership.
@@ -81,6 +84,8 @@
   using ProposalCompletion = OneShot<core::Result<configuration::CommandResult>>;
   using ReadCompletion = OneShot<core::Result<void>>;
 
+  using PendingReads = std::map<raft::ReadToken, std::shared_ptr<ReadCompletion>>;
+
   struct Proposal {
     raft::Term term = 0;
     std::shared_ptr<ProposalCompletion> completion;
@@ -103,6 +108,8 @@
   void finish_proposal(const raft::Entry& entry, const configuration::CommandResult& result);
   void finish_confirmed_reads();
   void finish_read(raft::ReadToken token, core::Result<void> result);
+  boost::asio::awaitable<core::Result<void>> wait_for_read(raft::ReadToken token, PendingReads& reads,
+                                                           core::Duration timeout);
   void fail_pending(const core::Error& error);
   void compact_if_needed();
   void set_timer();
@@ -131,7 +138,8 @@
   std::uint64_t syncs_ = 0;
   raft::ReadToken next_read_token_ = 1;
   std::map<raft::Index, Proposal> proposals_;
-  std::map<raft::ReadToken, std::shared_ptr<ReadCompletion>> reads_;
+  PendingReads reads_;             ///< Of a leader; they fail with its leadership.
+  PendingReads leaderless_reads_;  ///< Of a replica that knows no leader.
   std::multimap<raft::Index, raft::ReadToken> confirmed_reads_;  ///< Finished once their index is applied.
 };
 
--- a/src/control_world/daemon.cpp
+++ b/src/control_world/daemon.cpp
@@ -113,8 +113,9 @@
   if (machine != nullptr) {
     fleet_.network.send(host_, machine->host(), [this, machine, heartbeat = effect.heartbeat, on_reply] {
       if (machine->process() == nullptr) return;
-      const auto reply = machine->process()->heartbeat(heartbeat);
-      fleet_.network.send(machine->host(), host_, [on_reply, reply] { on_reply(reply); });
+      machine->process()->heartbeat(heartbeat, [this, machine, on_reply](const auto& reply) {
+        fleet_.network.send(machine->host(), host_, [on_reply, reply] { on_reply(reply); });
+      });
     });
   }
   const auto sequence = effect.heartbeat.sequence;
--- a/src/control_world/messages.hpp
+++ b/src/control_world/messages.hpp
@@ -8,6 +8,7 @@
 #include "configuration/command.hpp"
 #include "core/error.hpp"
 #include "protocol/configuration.hpp"
+#include "protocol/control_messages.hpp"
 
 namespace pipitpond::control_world {
 
@@ -25,5 +26,6 @@
 
 using AnswerChange = std::function<void(const ChangeAnswer&)>;
 using AnswerRead = std::function<void(const ReadAnswer&)>;
+using AnswerHeartbeat = std::function<void(const protocol::HeartbeatReply&)>;
 
 }  // namespace pipitpond::control_world
--- a/src/control_world/process.hpp
+++ b/src/control_world/process.hpp
@@ -48,7 +48,7 @@
   void read(AnswerRead answer);
   core::Result<void> change_membership(const raft::MembershipChange& change);
   void transfer_leadership();
-  [[nodiscard]] protocol::HeartbeatReply heartbeat(const protocol::Heartbeat& heartbeat);
+  void heartbeat(const protocol::Heartbeat& heartbeat, const AnswerHeartbeat& answer);
   [[nodiscard]] protocol::FetchReply fetch(const protocol::FetchRequest& request) const;
 
   [[nodiscard]] const raft::Node& node() const { return node_; }
--- a/src/control_world/process_requests.cpp
+++ b/src/control_world/process_requests.cpp
@@ -97,14 +97,23 @@
   return leader == nullptr ? std::nullopt : std::optional(leader->internal);
 }
 
-protocol::HeartbeatReply ControlProcess::heartbeat(const protocol::Heartbeat& heartbeat) {
+void ControlProcess::heartbeat(const protocol::Heartbeat& heartbeat, const AnswerHeartbeat& answer) {
   protocol::HeartbeatReply reply;
   reply.sequence = heartbeat.sequence;
   if (leading_) answer_heartbeat_as_leader(heartbeat, reply);
   reply.leader = leader_endpoint().value_or(core::Endpoint{});
   for (const auto& member : node_.membership().members) reply.control.push_back(member.internal);
+  if (leading_ || node_.leader()) {
+    answer(reply);
+  } else {
+    const auto token = next_read_++;
+    reads_[token] = [reply, answer](const ReadAnswer& shown) mutable {
+      if (!shown.failure) reply.complete = shown.configuration.revision;
+      answer(reply);
+    };
+    node_.read_without_leader(place_.host.now(), token);
+  }
   work();
-  return reply;
 }
 
 void ControlProcess::answer_heartbeat_as_leader(const protocol::Heartbeat& heartbeat,
--- a/src/protocol/control_messages.hpp
+++ b/src/protocol/control_messages.hpp
@@ -81,6 +81,7 @@
   /// Every daemon with a lease has settled this revision: new owners may use budgets of it.
   Revision settled_everywhere = 0;
   /// False: a follower answered; it has granted nothing and the fields above but `sequence` mean nothing.
+  /// Only `complete` may say something then.
   bool from_leader = false;
   /// Internal endpoint of the leader as far as the answering replica knows; port 0: unknown.
   core::Endpoint leader;
@@ -88,9 +89,12 @@
   std::vector<core::Endpoint> control;
   /// Set when the daemon's incarnation is older than the one that control knows.
   std::uint64_t known_incarnation = 0;
+  /// Of a replica that knows no leader: its revision, if a majority of the voters has shown that it holds
+  /// every change acknowledged before the heartbeat came. 0: not shown.
+  Revision complete = 0;
 
   MSGPACK_DEFINE(sequence, lease_ms, current, settled_everywhere, from_leader, leader, control,
-                 known_incarnation);
+                 known_incarnation, complete);
 };
 
 /// Asks any control replica for a page of what follows `after`.
--- a/src/raft/message.hpp
+++ b/src/raft/message.hpp
@@ -105,8 +105,25 @@
   MSGPACK_DEFINE(refusal, leader, members);
 };
 
-using MessageBody = std::variant<PreVoteRequest, PreVoteReply, VoteRequest, VoteReply, AppendRequest,
-                                 AppendReply, SnapshotRequest, TimeoutNow, JoinRequest, JoinReply>;
+/// Asks where the receiver's log ends. See LeaderlessReads.
+struct LogEndRequest {
+  Round round = 0;  ///< Of the sender's own count.
+
+  MSGPACK_DEFINE(round);
+};
+
+/// Not tied to the terms of the messages: whoever asks or answers from another term disturbs no leader.
+struct LogEndReply {
+  Round round = 0;         ///< Copied from the request.
+  Term term = 0;           ///< Of the sender, durable.
+  core::LogPosition last;  ///< Last entry of the sender's log, durable.
+
+  MSGPACK_DEFINE(round, term, last);
+};
+
+using MessageBody =
+    std::variant<PreVoteRequest, PreVoteReply, VoteRequest, VoteReply, AppendRequest, AppendReply,
+                 SnapshotRequest, TimeoutNow, JoinRequest, JoinReply, LogEndRequest, LogEndReply>;
 
 /// A message body with its addressing and term.
 struct Message {
--- a/src/raft/node.cpp
+++ b/src/raft/node.cpp
@@ -30,13 +30,16 @@
     tick_leader();
     return;
   }
+  if (now_ >= leaderless_reads_.next_question()) ask_for_log_ends();
   if (now_ >= election_deadline_) start_candidacy();
 }
 
 void Node::step(core::Instant now, Message message) {
   now_ = std::max(now_, now);
   const bool is_join_request = std::holds_alternative<JoinRequest>(message.body);
-  const bool is_termless = is_join_request || std::holds_alternative<JoinReply>(message.body);
+  const bool is_termless = is_join_request || std::holds_alternative<JoinReply>(message.body) ||
+                           std::holds_alternative<LogEndRequest>(message.body) ||
+                           std::holds_alternative<LogEndReply>(message.body);
   // A replica id that was lost with its disk may have used this endpoint: its messages are dropped.
   if (message.cluster != config_.cluster || (message.to != config_.id && !is_join_request)) return;
   if (message.from == config_.id) return;
@@ -186,7 +189,8 @@
 }
 
 core::Instant Node::next_timer() const {
-  return role_ == Role::kLeader ? next_heartbeat_ : election_deadline_;
+  return role_ == Role::kLeader ? next_heartbeat_
+                                : std::min(election_deadline_, leaderless_reads_.next_question());
 }
 
 core::LogPosition Node::append_entry(Entry entry) {
@@ -205,6 +209,7 @@
 
 void Node::fail_reads() {
   for (auto& result : reads_.fail_all()) read_results_.push_back(result);
+  fail_leaderless_reads();
 }
 
 void Node::send(const core::ControlId& to, MessageBody body) {
--- a/src/raft/node.hpp
+++ b/src/raft/node.hpp
@@ -35,6 +35,7 @@
 #include "core/clock.hpp"
 #include "core/error.hpp"
 #include "raft/config.hpp"
+#include "raft/leaderless_reads.hpp"
 #include "raft/log.hpp"
 #include "raft/message.hpp"
 #include "raft/progress.hpp"
@@ -88,6 +89,9 @@
   core::Result<core::LogPosition> propose(core::Instant now, std::string command);
   /// Requests a linearizable read; the result arrives in Ready::reads. Fails with kNotLeader.
   core::Result<void> read_index(core::Instant now, ReadToken token);
+  /// Requests a linearizable read of a replica that knows no leader; the result arrives in Ready::reads. Not
+  /// confirmed, or never answered, where no majority of the voters can show that nothing newer was committed.
+  void read_without_leader(core::Instant now, ReadToken token);
   /// Adds or removes one member. Fails with kNotLeader, kConflict (another change is in progress, or this
   /// leader has not yet committed an entry of its own term: retry), kAlreadyExists, kNotFound, or
   /// kInvalidArgument (no id, or the change would remove this leader).
@@ -211,6 +215,15 @@
   /// A silent voter that no other member replaces yet; empty: none.
   [[nodiscard]] core::ControlId unreplaced_silent_voter() const;
 
+  // Reads without a leader (node_leaderless_reads.cpp).
+  void begin_leaderless_round();
+  void ask_for_log_ends();
+  void handle(const Message& message, const LogEndRequest& request);
+  void handle(const Message& message, const LogEndReply& reply);
+  void confirm_leaderless_reads();
+  [[nodiscard]] std::size_t count_voters(const std::set<core::ControlId>& replicas) const;
+  void fail_leaderless_reads();
+
   // Membership and transfer (node_membership.cpp).
   /// Time since a member last answered a leader, earlier leaders included.
   [[nodiscard]] core::Duration time_since_contact(const core::ControlId& id) const;
@@ -240,6 +253,8 @@
   core::Instant last_leader_contact_;
   ReportedContacts reported_contacts_;
 
+  LeaderlessReads leaderless_reads_;
+
   // Joining.
   std::vector<core::Endpoint> suggested_endpoints_;  ///< From JoinReplies; the newest last.
   std::optional<LastJoinReply> last_join_reply_;
--- a/src/raft/node_election.cpp
+++ b/src/raft/node_election.cpp
@@ -107,6 +107,7 @@
 }
 
 void Node::become_leader() {
+  fail_leaderless_reads();
   role_ = Role::kLeader;
   leader_ = config_.id;
   votes_.clear();
--- a/src/raft/ready.hpp
+++ b/src/raft/ready.hpp
@@ -15,11 +15,11 @@
 /// Identifies a read; chosen by the driver.
 using ReadToken = std::uint64_t;
 
-/// Outcome of a read_index call.
+/// Outcome of a read_index or read_without_leader call.
 struct ReadResult {
   ReadToken token = 0;
-  /// True: this replica was the leader after the read was requested. Serve the read once `index` is applied.
-  /// False: leadership was lost; retry at the new leader.
+  /// True: whatever was committed before the read was requested ends at `index`. Serve the read once that is
+  /// applied. False: leadership was lost, or a leader or another term has come; retry at the leader.
   bool confirmed = false;
   Index index = 0;
 };
--- a/tests/agent/session_test.cpp
+++ b/tests/agent/session_test.cpp
@@ -142,6 +142,26 @@
   EXPECT_EQ(session_.complete_until(), core::Instant{});
 }
 
+TEST_F(SessionTest, AMajorityWithoutALeaderProvesTheConfigurationCompleteButGrantsNoLease) {
+  const SendHeartbeat sent = next_heartbeat();
+  const core::Instant sent_at = now_;
+  protocol::HeartbeatReply shown;
+  shown.sequence = sent.heartbeat.sequence;
+  shown.complete = 1;
+  session_.on_heartbeat_reply(now_, sent.to, shown);
+  taken_heartbeat();
+  ASSERT_EQ(fetches_.size(), 1U);
+  EXPECT_EQ(fetches_[0].to, sent.to) << "which has that revision";
+  EXPECT_FALSE(session_.configuration_proven()) << "revision 1 is not in force here yet";
+  protocol::FetchReply fetched;
+  fetched.changes = {change(1)};
+  ASSERT_NE(session_.take_fetch_reply(now_, fetched), nullptr);
+  session_.apply_fetched(now_);
+  EXPECT_EQ(session_.complete_until(), sent_at);
+  EXPECT_TRUE(session_.configuration_proven());
+  EXPECT_FALSE(session_.lease_valid(now_));
+}
+
 TEST_F(SessionTest, AnAnswerFromBeforeAFreezeRenewsNothing) {
   const SendHeartbeat sent = next_heartbeat();
   now_ += protocol::kDaemonLease + milliseconds(1);
