--- a/tests/soak/configuration_traffic.cpp
+++ b/tests/soak/configuration_traffic.cpp
@@ -173,7 +173,7 @@
   const bool above_what_is_held = random() % 4 != 0;
   const Version version = above_what_is_held ? next_version(0) : rule_.acknowledged().rbegin()->first;
   const std::vector<InvalidChange> changes = invalid_changes(body_of(version));
-  const InvalidChange change = changes.at(random() % changes.size());
+  const InvalidChange& change = changes.at(random() % changes.size());
   const std::size_t replica = random() % fleet_.controls();
   http::Request request = put_request(change.body);
   const auto [status, reason] = co_await fleet_.ask_control(replica, std::move(request), kCallLimit);
