The soak lets replicas that lag return first, which shows proxies that start behind

In half of the runs the replicas that control can spare now miss the last two changes, one of the others loses its disk, and for 2.5 s only these are back, with the proxies: the play of start-behind. Faults of this kind count as such for the rule's time in touch.

--- a/tests/soak/control_faults.cpp
+++ b/tests/soak/control_faults.cpp
@@ -192,6 +192,18 @@
   add(now, "control, all", "kill", [this] { restart_all_control(); });
 }
 
+std::set<std::size_t> SoakFaults::freeze_spare_controls() {
+  rule_.on_fault(core::BootClock::now());
+  std::set<std::size_t> frozen;
+  while (frozen.size() < spare_controls()) {
+    const std::size_t number = draw(fleet_.controls());
+    if (!is_gone(number) && frozen.insert(number).second) {
+      fleet_.control(number).signal(SIGSTOP);
+    }
+  }
+  return frozen;
+}
+
 void SoakFaults::restart_all_control() {
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
     restart_control(number);
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -17,6 +17,8 @@
 constexpr auto kStormInterval = milliseconds(80);
 constexpr auto kSeriesInterval = milliseconds(150);
 constexpr auto kDarkTime = milliseconds(800);
+/// After a loss of power: how long only replicas that lag, and one that lost its disk, are back.
+constexpr auto kWithoutMajorityTime = milliseconds(2500);
 constexpr auto kStopLimit = std::chrono::seconds(10);
 /// Of an exit code: the process was ended by the signal that follows.
 constexpr int kSignalled = 128;
@@ -226,14 +228,36 @@
 }
 
 void SoakFaults::lose_a_disk_and_all_power() {
+  const std::set<std::size_t> lagging = draw(2) == 0 ? freeze_spare_controls() : std::set<std::size_t>{};
   traffic_.change_now();
+  if (!lagging.empty()) {
+    traffic_.change_now();
+  }
   const core::Instant now = core::BootClock::now();
   std::size_t lost = draw(fleet_.controls());
-  while (is_gone(lost)) {
+  while (is_gone(lost) || lagging.contains(lost)) {
     lost = draw(fleet_.controls());
   }
   told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: all lose power, control " +
-                  std::to_string(lost) + " its disk");
+                  std::to_string(lost) + " its disk; replicas that lag: " + std::to_string(lagging.size()));
+  kill_everything();
+  fleet_.lose_disk(lost);
+  fleet_.pause(kDarkTime);
+  if (!lagging.empty()) {
+    restart_control(lost);
+    for (const std::size_t number : lagging) {
+      restart_control(number);
+    }
+    restart_all_proxies();
+    fleet_.pause(kWithoutMajorityTime);
+  }
+  restart_all_control();
+  restart_all_proxies();
+  rule_.on_fault(core::BootClock::now());
+}
+
+void SoakFaults::kill_everything() {
+  rule_.on_fault(core::BootClock::now());
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
     fleet_.control(number).signal(SIGKILL);
   }
@@ -246,13 +270,12 @@
   for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
     fleet_.proxy(number).wait(kDeathLimit);
   }
-  fleet_.lose_disk(lost);
-  fleet_.pause(kDarkTime);
-  restart_all_control();
+}
+
+void SoakFaults::restart_all_proxies() {
   for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
     restart_proxy(number);
   }
-  rule_.on_fault(core::BootClock::now());
 }
 
 void SoakFaults::shift_clock() {
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -53,7 +53,7 @@
   void wait_until_disks_caught_up();
   /// The worst that must be borne: right after an acknowledged change one replica of control loses its disk,
   /// and all other processes lose power at the same moment, the proxies too. Restarts everything after a
-  /// while.
+  /// while; in half of the runs first only that one and replicas that lag, and the proxies.
   void lose_a_disk_and_all_power();
 
   /// What was done, for a failed run: one line each.
@@ -88,6 +88,8 @@
   void begin_series(core::Instant now);
   void step_series(core::Instant now);
   void restart_proxy(std::size_t number);
+  void restart_all_proxies();
+  void kill_everything();
 
   // Control (control_faults.cpp).
   /// How many replicas may be away at once, for control to go on.
@@ -98,6 +100,8 @@
   void kill_all_control(core::Instant now);
   void restart_control(std::size_t number);
   void restart_all_control();
+  /// As many replicas as control can spare miss what follows, until they are killed.
+  std::set<std::size_t> freeze_spare_controls();
   void stop_control(core::Instant now, std::size_t number, const std::string& subject);
   void lose_control_disk(core::Instant now, std::size_t number, const std::string& subject);
   /// Kills a machine for good; an empty one at another address takes its place.
