--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -59,9 +59,9 @@
   /// the leader has acknowledged it or after `timeout`.
   virtual boost::asio::awaitable<void> depart(core::Duration timeout) = 0;
 
-  /// The newest configuration that the daemon may obey. An empty one of revision 0 until a leader of control
-  /// has proven one complete in this life, also when an earlier life has stored one. The value changes with
-  /// each ChangeCallback.
+  /// The newest configuration that the daemon may obey. An empty one of revision 0 until control has
+  /// proven one complete in this life (see Session::configuration_proven), also when an earlier life has
+  /// stored one. The value changes with each ChangeCallback.
   [[nodiscard]] virtual const protocol::Configuration& configuration() const = 0;
   /// Registers a callback. All are called in the order of registration.
   virtual void on_change(ChangeCallback callback) = 0;
--- a/src/agent/proof_log.cpp
+++ b/src/agent/proof_log.cpp
@@ -9,8 +9,8 @@
   const protocol::Revision revision = session.configuration().revision;
   if (session.configuration_proven()) {
     proven_ = true;
-    log_->info("event=configuration_proven revision={} leader={} after_ms={}", revision,
-               core::to_string(session.leader_guess()), core::to_millis(now - started_));
+    log_->info("event=configuration_proven revision={} after_ms={}", revision,
+               core::to_millis(now - started_));
     return;
   }
   if (revision > 0 && now >= last_line_ + kUnprovenLineInterval) {
--- a/src/agent/proof_log.hpp
+++ b/src/agent/proof_log.hpp
@@ -1,5 +1,5 @@
 // What an operator needs to know of a daemon that has a configuration and may not obey it yet: since when it
-// waits for a leader's word, and from when on it has it.
+// waits for a proof, where it asks for one, and from when on it has it.
 #pragma once
 
 #include "agent/session.hpp"
