--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -139,8 +139,10 @@
     return;  // A later heartbeat's answer came first: it tells all of this and newer.
   }
   if (!reply.from_leader) {
-    note_complete_revision(sent_at, reply.complete);
-    fetch_if_behind(now, from);
+    if (reply.complete > 0) {
+      note_complete_revision(sent_at, reply.complete);
+      fetch_if_behind(now, from);
+    }
     follow_hint(now, reply.leader);
     return;
   }
@@ -171,9 +173,6 @@
 // majority stands by it; a replica without a leader only once a majority has shown it: all that any leader
 // acknowledged before the question was sent is part of that revision.
 void Session::note_complete_revision(core::Instant sent_at, protocol::Revision revision) {
-  if (revision == 0) {
-    return;
-  }
   newest_known_ = std::max(newest_known_, revision);
   awaited_revisions_.emplace_back(revision, sent_at);
   if (awaited_revisions_.size() > kMostAwaitedRevisions) {
--- a/src/control_world/process.hpp
+++ b/src/control_world/process.hpp
@@ -93,6 +93,8 @@
   /// Keeps the configuration's list of control replicas like the membership, as control::LeaderDuties does.
   void align_controls();
   void propose_own(configuration::Operation operation);
+  /// Answers a heartbeat once a majority has shown what is complete, or can't.
+  void answer_when_complete(const protocol::HeartbeatReply& reply, const AnswerHeartbeat& answer);
   void answer_heartbeat_as_leader(const protocol::Heartbeat& heartbeat, protocol::HeartbeatReply& reply);
   configuration::Command as_proposed(configuration::Command command) const;
   configuration::Command as_applied(configuration::Command command) const;
--- a/src/simulation/switches.cpp
+++ b/src/simulation/switches.cpp
@@ -20,6 +20,7 @@
     "revision-check",
     "sync-every-write",
     "newest-revision-only",
+    "leaderless-reads",
     "fencing",
     "majority-acknowledgement",
     "term-confirmation",
--- a/src/simulation/switches.hpp
+++ b/src/simulation/switches.hpp
@@ -24,6 +24,7 @@
   kRevisionCheck,
   kSyncEveryWrite,
   kNewestRevisionOnly,
+  kLeaderlessReads,
   // Group world.
   kFencing,
   kMajorityAcknowledgement,
