A session whose route moves to another service reads there

Callers saw: a session that has written, and whose session route a change then leads to another service, gets no read answered any more, for as long as it lives: each is refused as busy after its whole waiting time.

Cause: the session kept one log position of its own writes and asked the new service's databases for it, in whose log it may lie far ahead (term 9 against 1). Class: what one group said is believed about another. Mended by one position for each group, as the product's own session tokens have them.

Failed before: CallerSessionTest.ASessionWhoseRouteMovesToAnotherGroupDoesNotWaitThereForItsWritesInTheFormer (the read was refused by the new group's primary, "behind", 24 times in 160 ms). Passed after. Looked for elsewhere: Backends keeps positions, proofs and terms by group; so do session tokens.

--- a/src/pooling/caller_session.hpp
+++ b/src/pooling/caller_session.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -151,7 +152,7 @@
   void after_transaction_statement(const Statement& statement, const StatementReply& reply);
   void close_transaction();
 
-  void note_own_write(const StatementReply& reply);
+  void note_own_write(const core::GroupName& group, const StatementReply& reply);
   void count(const StatementReply& reply);
 
   SessionServices& services_;
@@ -159,7 +160,9 @@
   protocol::KeyDigest key_;
   SessionState session_;
   std::optional<Transaction> transaction_;
-  std::optional<core::LogPosition> own_write_position_;  ///< Of this session's last acknowledged write.
+  /// Of this session's last acknowledged write in each group: a route may move to another group, whose log
+  /// has positions of its own.
+  std::map<core::GroupName, core::LogPosition> own_write_positions_;
   bool running_ = false;
 };
 
--- a/src/pooling/caller_session_routing.cpp
+++ b/src/pooling/caller_session_routing.cpp
@@ -130,10 +130,11 @@
   }
   const core::Duration staleness = std::chrono::milliseconds(pending.route.max_staleness_ms);
   need.after = services_.backends.position_for(pending.route.group, staleness, now);
+  const auto own_write = own_write_positions_.find(pending.route.group);
   const bool needs_own_writes =
-      pending.route.kind == protocol::RouteKind::kSession && own_write_position_.has_value();
+      pending.route.kind == protocol::RouteKind::kSession && own_write != own_write_positions_.end();
   if (need.after && needs_own_writes) {
-    need.after = std::max(*need.after, *own_write_position_);
+    need.after = std::max(*need.after, own_write->second);
   }
   return need;
 }
@@ -350,7 +351,7 @@
     choice.pool->reach().note_reached(*pending.after);
   }
   if (may_write(pending.statement)) {
-    note_own_write(reply);
+    note_own_write(pending.route.group, reply);
   } else if (!begins_transaction(pending.statement)) {
     ++(choice.is_primary ? services_.counters.reads_at_primaries : services_.counters.reads_at_replicas);
   }
@@ -360,10 +361,10 @@
   return reply;
 }
 
-void CallerSession::note_own_write(const StatementReply& reply) {
+void CallerSession::note_own_write(const core::GroupName& group, const StatementReply& reply) {
   if (reply.position) {
-    own_write_position_ =
-        own_write_position_ ? std::max(*own_write_position_, *reply.position) : *reply.position;
+    core::LogPosition& newest = own_write_positions_[group];
+    newest = std::max(newest, *reply.position);
   }
 }
 
--- a/src/pooling/caller_session_transaction.cpp
+++ b/src/pooling/caller_session_transaction.cpp
@@ -115,7 +115,7 @@
   }
   const bool committed = statement.kind == StatementKind::kCommit && !reply.failure;
   if (committed && transaction_->wrote) {
-    note_own_write(reply);
+    note_own_write(transaction_->route.group, reply);
   }
   const bool read_only_primary = reply.failure && reply.failure->code == FailureCode::kReadOnly;
   if (read_only_primary && transaction_->choice.is_primary) {
--- a/tests/pooling/caller_session_test.cpp
+++ b/tests/pooling/caller_session_test.cpp
@@ -45,6 +45,27 @@
     apply();
   }
 
+  /// Adds a group like the first one, with databases of its own, and lets this route lead there.
+  void move_route_to_another_group(const std::string& name) {
+    protocol::Configuration configuration = agent_.configuration();
+    protocol::Group other = configuration.groups.begin()->second;
+    other.name = core::GroupName("other");
+    for (protocol::Database& database : other.databases) {
+      database.id = core::DatabaseId("other-" + database.id.value());
+      database.endpoint.port += 100;
+    }
+    other.terms = {protocol::TermStart{1, core::DatabaseId("other-a"), {}}};
+    configuration.groups[other.name] = other;
+    for (protocol::Route& route : configuration.routes.routes) {
+      route.group = route.name == name ? other.name : route.group;
+    }
+    ++configuration.routes.version;
+    ++configuration.revision;
+    connector_.database("other-a").primary = true;
+    agent_.set_configuration(configuration);
+    apply();
+  }
+
   StatementReply run(CallerSession& session, Statement statement) {
     return pipitpond::testing::run(io_, session.run(std::move(statement)));
   }
@@ -167,6 +188,17 @@
   EXPECT_GE(*ran("b")[0].after, written);
 }
 
+TEST_F(CallerSessionTest, ASessionWhoseRouteMovesToAnotherGroupDoesNotWaitThereForItsWritesInTheFormer) {
+  learn_position();
+  CallerSession session(services_, "own");
+  connector_.database("a").position = {9, 40};
+  ASSERT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
+  move_route_to_another_group("own");
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
+  EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
+  EXPECT_EQ(ran("other-a").size() + ran("other-b").size() + ran("other-c").size(), 2U);
+}
+
 // --- Reads that must come from the current primary
 // ---------------------------------------------------------------------------------------------------
 
