The test of proxies that start behind waits until all five control replicas vote

Its log shows four voters: the test stopped the leader and another one 0.1 s after the fourth replica had joined and before the fifth had, so that two of four voters were gone. It waits until five vote; all that it asks for is as before.

So that the next such failure needs no second run: a failed test of a fleet keeps its logs and prints the last lines of each, and the fleet tells who leads and votes (from control_membership_test, which had its own).

--- a/tests/platform/configuration_test.cpp
+++ b/tests/platform/configuration_test.cpp
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kControls = 5;
+constexpr std::size_t kControls = 5;
 
 class ConfigurationTest : public ::testing::Test {
  protected:
@@ -49,6 +49,7 @@
 
 TEST_F(ConfigurationTest, AProxyThatStartsWhileControlHasNoLeaderObeysNoOlderRoutes) {
   ASSERT_TRUE(fleet_.become_ready());
+  ASSERT_TRUE(fleet_.wait([this] { return fleet_.voters() == kControls; }));
   ASSERT_TRUE(put(2, {0, 1, 2, 3, 4}));
   ASSERT_TRUE(fleet_.wait([this] { return obeys(2); }));
   for (const std::size_t lagging : {0, 1}) {
--- a/tests/platform/control_membership_test.cpp
+++ b/tests/platform/control_membership_test.cpp
@@ -36,34 +36,13 @@
 
   void SetUp() override {
     ASSERT_TRUE(fleet_.become_ready());
-    ASSERT_TRUE(fleet_.wait([this] { return voters() == static_cast<std::size_t>(kControls); }));
-  }
-
-  /// What the leader says, asked through any machine that runs.
-  std::optional<json> status() {
-    for (std::size_t number = 0; number < fleet_.controls(); ++number) {
-      const auto [code, body] = fleet_.call_control(number, "GET", "/v1/status", "");
-      if (code == 200) {
-        return json::parse(body);
-      }
-    }
-    return std::nullopt;
-  }
-
-  std::size_t voters() {
-    const auto now = status();
-    if (!now) {
-      return 0;
-    }
-    const auto& replicas = now->at("replicas");
-    return static_cast<std::size_t>(std::count_if(
-        replicas.begin(), replicas.end(), [](const json& replica) { return replica.at("role") == "voter"; }));
+    ASSERT_TRUE(fleet_.wait([this] { return fleet_.voters() == static_cast<std::size_t>(kControls); }));
   }
 
   std::size_t leader() {
     std::optional<std::size_t> leading;
     EXPECT_TRUE(fleet_.wait([&] {
-      const auto now = status();
+      const auto now = fleet_.control_status();
       for (std::size_t number = 0; now && number < fleet_.controls(); ++number) {
         if (machine_of(now->at("leader")) == name_of(number)) {
           leading = number;
@@ -88,7 +67,7 @@
       }
       end(leading, SIGTERM);
       fleet_.restart_control(leading);
-      if (!fleet_.wait([this] { return voters() == static_cast<std::size_t>(kControls); })) {
+      if (!fleet_.wait([this] { return fleet_.voters() == static_cast<std::size_t>(kControls); })) {
         return false;
       }
     }
@@ -97,7 +76,7 @@
 
   /// A voter of this machine under another identity than the first, and no other member of it.
   bool joined_anew(std::size_t control) {
-    const auto now = status();
+    const auto now = fleet_.control_status();
     if (!now) {
       return false;
     }
@@ -115,7 +94,7 @@
   }
 
   void lose_disk(std::size_t control) {
-    const auto before = status();
+    const auto before = fleet_.control_status();
     ASSERT_TRUE(before.has_value());
     for (const json& replica : before->at("replicas")) {
       const std::string identity = replica.at("id");
@@ -136,7 +115,8 @@
   ASSERT_TRUE(let_no_seed_lead());
   const std::size_t leading = leader();
   ASSERT_NO_FATAL_FAILURE(lose_disk(0));
-  EXPECT_TRUE(fleet_.wait([this] { return joined_anew(0); })) << status().value_or(json()).dump();
+  EXPECT_TRUE(fleet_.wait([this] { return joined_anew(0); }))
+      << fleet_.control_status().value_or(json()).dump();
   EXPECT_EQ(leader(), leading);
 }
 
--- a/tests/platform_support/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -1,8 +1,13 @@
 #include "platform_support/platform_fleet.hpp"
 
+#include <gtest/gtest.h>
+
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <deque>
 #include <fstream>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -19,6 +24,8 @@
 namespace {
 
 constexpr core::Duration kCallTimeout = std::chrono::seconds(5);
+/// Of each process's log, printed when a test fails.
+constexpr std::size_t kLinesOfAFailure = 12;
 const std::string kSessionOpened = "READY I -";
 const std::string kUnknownDatabase = "ERR NODB";
 
@@ -150,13 +157,35 @@
       member.child.reset();
     }
   }
-  if (std::getenv("PIPITPOND_KEEP_LOGS") != nullptr) {
+  const bool failed = ::testing::Test::HasFailure();
+  if (failed) {
+    print_last_lines();
+  }
+  if (failed || std::getenv("PIPITPOND_KEEP_LOGS") != nullptr) {
+    std::cout << "The logs of this run are in " << folder_.string() << std::endl;
     return;
   }
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
 
+void PlatformFleet::print_last_lines() const {
+  for (const std::filesystem::path& log : logs()) {
+    std::ifstream file(log);
+    std::deque<std::string> last;
+    for (std::string line; std::getline(file, line);) {
+      last.push_back(std::move(line));
+      if (last.size() > kLinesOfAFailure) {
+        last.pop_front();
+      }
+    }
+    std::cout << "--- " << log.filename().string() << "\n";
+    for (const std::string& line : last) {
+      std::cout << line << "\n";
+    }
+  }
+}
+
 void PlatformFleet::make_settings(int controls, int proxies) {
   const std::uint16_t internal = process::free_ports("127.0.0.1", 1)[0];
   control_internal_port_ = internal;
@@ -352,6 +381,27 @@
   return call(controls_.at(number).http, method, path, body);
 }
 
+std::optional<nlohmann::json> PlatformFleet::control_status() {
+  for (std::size_t number = 0; number < controls_.size(); ++number) {
+    const auto [code, body] = call_control(number, "GET", "/v1/status", "");
+    if (code == 200) {
+      return nlohmann::json::parse(body);
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t PlatformFleet::voters() {
+  const auto status = control_status();
+  if (!status) {
+    return 0;
+  }
+  const auto& replicas = status->at("replicas");
+  return static_cast<std::size_t>(
+      std::count_if(replicas.begin(), replicas.end(),
+                    [](const nlohmann::json& replica) { return replica.at("role") == "voter"; }));
+}
+
 awaitable<std::pair<unsigned, std::string>> PlatformFleet::ask_control(std::size_t number,
                                                                        http::Request request,
                                                                        core::Duration limit) {
--- a/tests/platform_support/platform_fleet.hpp
+++ b/tests/platform_support/platform_fleet.hpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -77,6 +78,10 @@
   boost::asio::awaitable<std::pair<unsigned, std::string>> ask_control(std::size_t number,
                                                                        http::Request request,
                                                                        core::Duration limit);
+  /// What control's leader says of itself, asked through any machine of control that runs.
+  std::optional<nlohmann::json> control_status();
+  /// How many machines of control vote; 0 while no leader says so.
+  std::size_t voters();
   [[nodiscard]] bool ready(std::size_t proxy);
   /// Whether a proxy has a route to a database; empty when no answer was clear.
   boost::asio::awaitable<std::optional<bool>> knows_database(std::size_t proxy, std::string database,
@@ -124,6 +129,7 @@
     core::Endpoint internal;
   };
 
+  void print_last_lines() const;
   void make_settings(int controls, int proxies);
   [[nodiscard]] std::string seeds_of(const std::vector<std::size_t>& controls) const;
   void write_control(std::size_t number, const std::string& seeds, std::uint16_t internal);
