The soak cuts links between machines, slows disks, holds sessions, and judges lateness of each proxy apart

What the first form could not see: no link between control replicas, proxies and operators was ever cut or silent; disks were lost or full, but never slow; every fault of anything, a slow database too, put all proxies out of touch, so that lateness was judged in the last seconds only; and sessions on a route that a later version drops were never held.

Now each process that the soak starts preloads a library that leads its connections to control through one link for each pair of machines at a real fault proxy (tests/soak/preload, fault_links), so that a replica, some of them with proxies, a proxy, a pair, or operators at one replica are cut off: silent both ways or one way, or refused; at times operators reach both sides. Syncs take 20 to 420 ms longer, stand still, or are slow on all replicas. Only faults of control and of the proxy itself begin its time in touch anew; SIGHUP does not.

--- a/tests/platform_support/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -26,7 +26,6 @@
 constexpr core::Duration kCallTimeout = std::chrono::seconds(5);
 /// Of each process's log, printed when a test fails.
 constexpr std::size_t kLinesOfAFailure = 12;
-const std::string kSessionOpened = "READY I -";
 const std::string kUnknownDatabase = "ERR NODB";
 
 /// Each control machine has an IP number of its own, for seeds tell machines apart by it.
@@ -133,7 +132,8 @@
 // --- Fleet
 // -----------------------------------------------------------------------------------------------------
 
-PlatformFleet::PlatformFleet(platform_stage::ServiceOptions service, int controls, int proxies) {
+PlatformFleet::PlatformFleet(platform_stage::ServiceOptions service, int controls, int proxies,
+                             const BeforeStart& before_start) {
   folder_ = std::filesystem::temp_directory_path() /
             ("pipitpond-platform-" + std::to_string(std::random_device{}()));
   std::filesystem::create_directories(folder_);
@@ -148,6 +148,15 @@
   service_ = std::make_unique<platform_stage::Service>(io_, service);
   promotion_ = service_->start_promotion_call();
   make_settings(controls, proxies);
+  if (before_start) {
+    before_start(*this);
+  }
+  for (Member& member : controls_) {
+    start(member, "pipitpond-platform-control", {"--cluster.bootstrap=true"});
+  }
+  for (Member& member : proxies_) {
+    start(member, "pipitpond-platform-proxy");
+  }
   service_->start();
 }
 
@@ -196,7 +205,6 @@
   const std::string seeds = seeds_of(first);
   for (std::size_t number = 0; number < controls_.size(); ++number) {
     write_control(number, seeds, internal);
-    start(controls_[number], "pipitpond-platform-control", {"--cluster.bootstrap=true"});
   }
   for (std::size_t number = 0; number < static_cast<std::size_t>(proxies); ++number) {
     const auto ports = process::free_ports("127.0.0.1", 3);
@@ -204,13 +212,28 @@
     proxies_[number].http = {"127.0.0.1", ports[1]};
     proxies_[number].internal = {"127.0.0.1", ports[2]};
     write_proxy(number, seeds);
-    start(proxies_[number], "pipitpond-platform-proxy");
   }
 }
 
+std::filesystem::path PlatformFleet::control_settings(std::size_t number) const {
+  return folder_ / ("control-" + std::to_string(number) + ".toml");
+}
+
+std::filesystem::path PlatformFleet::proxy_settings(std::size_t number) const {
+  return folder_ / ("proxy-" + std::to_string(number) + ".toml");
+}
+
+core::Endpoint PlatformFleet::control_http(std::size_t number) const {
+  return {control_address(number), control_http_port_};
+}
+
+core::Endpoint PlatformFleet::control_internal(std::size_t number) const {
+  return {control_address(number), control_internal_port_};
+}
+
 void PlatformFleet::write_control(std::size_t number, const std::string& seeds, std::uint16_t internal) {
   Member& member = controls_[number];
-  member.settings = folder_ / ("control-" + std::to_string(number) + ".toml");
+  member.settings = control_settings(number);
   std::ofstream file(member.settings);
   file << "[node]\nid = \"" << control_address(number) << "\"\n"
        << "[cluster]\nseeds = [" << seeds << "]\n"
@@ -223,7 +246,7 @@
 
 void PlatformFleet::write_proxy(std::size_t number, const std::string& seeds) {
   Member& member = proxies_.at(number);
-  member.settings = folder_ / ("proxy-" + std::to_string(number) + ".toml");
+  member.settings = proxy_settings(number);
   std::ofstream file(member.settings);
   file << "[node]\nid = \"proxy-" << number << "\"\nzone = \"stage\"\n"
        << "[listen]\ncallers = \"" << core::to_string(member.callers) << "\"\nadmin = \""
@@ -238,23 +261,31 @@
   options.arguments = {"--config", member.settings.string()};
   options.arguments.insert(options.arguments.end(), more.begin(), more.end());
   options.output = member.settings.string() + ".log";
-  const char* clock_library = std::getenv("PIPITPOND_SOAK_CLOCK");
-  const bool shifted = clock_library != nullptr && clock_shift_.count() != 0;
-  if (shifted) {
-    setenv("LD_PRELOAD", clock_library, 1);
-    setenv("SOAK_CLOCK_SHIFT_MS", std::to_string(clock_shift_.count()).c_str(), 1);
+  const std::map<std::string, std::string> environment = preload_environment(member);
+  for (const auto& [name, value] : environment) {
+    setenv(name.c_str(), value.c_str(), 1);
   }
   member.started = core::BootClock::now();
   auto child = process::Child::start(options);
-  if (shifted) {
-    unsetenv("LD_PRELOAD");
-    unsetenv("SOAK_CLOCK_SHIFT_MS");
+  for (const auto& [name, value] : environment) {
+    unsetenv(name.c_str());
   }
   if (child) {
     member.child = std::move(child.value());
   }
 }
 
+std::map<std::string, std::string> PlatformFleet::preload_environment(const Member& member) const {
+  const char* library = std::getenv("PIPITPOND_SOAK_PRELOAD");
+  if (library == nullptr) {
+    return {};
+  }
+  return {{"LD_PRELOAD", library},
+          {"SOAK_CLOCK_SHIFT_MS", std::to_string(clock_shift_.count())},
+          {"SOAK_LINKS_FILE", member.settings.string() + ".links"},
+          {"SOAK_SYNC_DELAY_FILE", member.settings.string() + ".sync"}};
+}
+
 std::vector<std::filesystem::path> PlatformFleet::logs() const {
   std::vector<std::filesystem::path> files;
   for (const auto* members : {&controls_, &proxies_}) {
@@ -272,8 +303,7 @@
 std::string PlatformFleet::seeds_of(const std::vector<std::size_t>& controls) const {
   std::string seeds;
   for (const std::size_t number : controls) {
-    const core::Endpoint http{control_address(number), control_http_port_};
-    seeds += (seeds.empty() ? "\"" : ", \"") + core::to_string(http) + "\"";
+    seeds += (seeds.empty() ? "\"" : ", \"") + core::to_string(control_http(number)) + "\"";
   }
   return seeds;
 }
@@ -281,7 +311,7 @@
 void PlatformFleet::add_control(const std::vector<std::size_t>& seeds) {
   const std::size_t number = controls_.size();
   controls_.emplace_back();
-  controls_.back().http = {control_address(number), control_http_port_};
+  controls_.back().http = control_http(number);
   write_control(number, seeds_of(seeds), control_internal_port_);
   restart_control(number);
 }
@@ -405,7 +435,10 @@
 awaitable<std::pair<unsigned, std::string>> PlatformFleet::ask_control(std::size_t number,
                                                                        http::Request request,
                                                                        core::Duration limit) {
-  HttpCall call{controls_.at(number).http, std::move(request), limit};
+  const auto redirected = operators_endpoints_.find(number);
+  const core::Endpoint& endpoint =
+      redirected == operators_endpoints_.end() ? controls_.at(number).http : redirected->second;
+  HttpCall call{endpoint, std::move(request), limit};
   co_return co_await exchange(io_, std::move(call));
 }
 
--- a/tests/platform_support/platform_fleet.hpp
+++ b/tests/platform_support/platform_fleet.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <filesystem>
+#include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -17,6 +19,9 @@
 
 namespace pipitpond::platform {
 
+/// What a proxy answers when it opens a session.
+inline const std::string kSessionOpened = "READY I -";
+
 /// What a caller got for one query.
 struct Answer {
   bool connected = true;
@@ -59,7 +64,11 @@
 /// The fleet.
 class PlatformFleet {
  public:
-  explicit PlatformFleet(platform_stage::ServiceOptions service = {}, int controls = 3, int proxies = 2);
+  /// Called when all endpoints are known and no process has been started.
+  using BeforeStart = std::function<void(PlatformFleet&)>;
+
+  explicit PlatformFleet(platform_stage::ServiceOptions service = {}, int controls = 3, int proxies = 2,
+                         const BeforeStart& before_start = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -105,8 +114,20 @@
   void restart_proxy(std::size_t number);
   /// Removes a control replica's data. It must not run.
   void lose_disk(std::size_t control);
-  /// Processes that are started from now on have a time of day that is off by so much; see tests/soak/clock.
+  /// Processes that are started from now on have a time of day that is off by so much; see
+  /// tests/soak/preload.
   void set_clock_shift(std::chrono::milliseconds shift) { clock_shift_ = shift; }
+  /// ask_control() goes to this endpoint instead, where a fault proxy listens. The machine may still be to be
+  /// added.
+  void set_operators_endpoint(std::size_t control, core::Endpoint endpoint) {
+    operators_endpoints_[control] = std::move(endpoint);
+  }
+  /// Endpoints of a control machine, also of one that is still to be added.
+  [[nodiscard]] core::Endpoint control_http(std::size_t number) const;
+  [[nodiscard]] core::Endpoint control_internal(std::size_t number) const;
+  /// Settings files; what a process reads from preloaded libraries lies beside them.
+  [[nodiscard]] std::filesystem::path control_settings(std::size_t number) const;
+  [[nodiscard]] std::filesystem::path proxy_settings(std::size_t number) const;
   /// Status and body of a request to any HTTP endpoint.
   std::pair<unsigned, std::string> call(const core::Endpoint& endpoint, const std::string& method,
                                         const std::string& path, const std::string& body);
@@ -134,6 +155,8 @@
   [[nodiscard]] std::string seeds_of(const std::vector<std::size_t>& controls) const;
   void write_control(std::size_t number, const std::string& seeds, std::uint16_t internal);
   void write_proxy(std::size_t number, const std::string& seeds);
+  /// Variables of the library that the soak preloads into each process; see tests/soak/preload.
+  [[nodiscard]] std::map<std::string, std::string> preload_environment(const Member& member) const;
   void start(Member& member, const char* program, const std::vector<std::string>& more = {});
 
   boost::asio::io_context io_;
@@ -143,6 +166,7 @@
   std::uint16_t control_http_port_ = 0;
   std::uint16_t control_internal_port_ = 0;
   std::vector<Member> controls_;
+  std::map<std::size_t, core::Endpoint> operators_endpoints_;  ///< By number of the control machine.
   std::vector<Member> proxies_;
   std::chrono::milliseconds clock_shift_{0};
 };
--- a/tests/soak/configuration_rule.cpp
+++ b/tests/soak/configuration_rule.cpp
@@ -64,9 +64,8 @@
   if (seen.version < owed_at_start) {
     blame("started behind", who + ", " + number(owed_at_start) + " was acknowledged before it started");
   }
-  const bool in_touch = seen.asked >= last_fault_ + kContactTime;
   const Version owed = newest_acknowledged(seen.asked - kInForceLimit);
-  if (in_touch && seen.version < owed) {
+  if (in_touch(seen.proxy, seen.asked) && seen.version < owed) {
     blame("late", who + " in touch, " + number(owed) + " was acknowledged more than " +
                       std::to_string(core::to_millis(kInForceLimit)) + " ms before");
   }
@@ -75,6 +74,17 @@
   }
 }
 
+void ConfigurationRule::on_proxy_fault(std::size_t proxy, core::Instant at) {
+  core::Instant& last = last_proxy_fault_[proxy];
+  last = std::max(last, at);
+}
+
+bool ConfigurationRule::in_touch(std::size_t proxy, core::Instant at) const {
+  const auto own = last_proxy_fault_.find(proxy);
+  const core::Instant own_fault = own == last_proxy_fault_.end() ? core::Instant{} : own->second;
+  return at >= std::max(last_control_fault_, own_fault) + kContactTime;
+}
+
 Version ConfigurationRule::newest_acknowledged(core::Instant before) const {
   Version newest = 0;
   for (const auto& [version, at] : acknowledged_) {
--- a/tests/soak/configuration_rule.hpp
+++ b/tests/soak/configuration_rule.hpp
@@ -43,8 +43,12 @@
   void on_read(std::size_t replica, core::Instant sent, const std::string& body);
   /// A proxy served, by the routes of a version.
   void on_obeyed(const ObeyedVersion& seen);
-  /// A fault hit control or a proxy, or ended: nobody counts as in touch for a while.
-  void on_fault(core::Instant at) { last_fault_ = std::max(last_fault_, at); }
+  /// A fault hit control, or ended: no proxy counts as in touch for a while.
+  void on_control_fault(core::Instant at) { last_control_fault_ = std::max(last_control_fault_, at); }
+  /// A fault hit one proxy or its way to control, or ended.
+  void on_proxy_fault(std::size_t proxy, core::Instant at);
+  /// Everything was hit, or has returned.
+  void on_fault_everywhere(core::Instant at) { on_control_fault(at); }
 
   /// Newest version that was acknowledged before a moment; 0: none.
   [[nodiscard]] Version newest_acknowledged(core::Instant before) const;
@@ -64,13 +68,15 @@
     Version version = 0;
   };
 
+  [[nodiscard]] bool in_touch(std::size_t proxy, core::Instant at) const;
   /// Kinds are told apart so that one that lasts doesn't hide the others.
   void blame(const std::string& kind, const std::string& text);
 
   std::map<Version, std::string> bodies_;          ///< Valid ones, as sent.
   std::map<Version, core::Instant> acknowledged_;  ///< First acknowledgement.
   std::map<std::size_t, LastSeen> last_seen_;      ///< By proxy.
-  core::Instant last_fault_{};
+  core::Instant last_control_fault_{};
+  std::map<std::size_t, core::Instant> last_proxy_fault_;
   std::size_t reads_ = 0;
   std::size_t observations_ = 0;
   std::map<std::string, std::size_t> broken_of_kind_;
--- a/tests/soak/configuration_rule_test.cpp
+++ b/tests/soak/configuration_rule_test.cpp
@@ -85,9 +85,13 @@
 }
 
 TEST_F(ConfigurationRuleTest, FindsALateProxyOnlyInTouch) {
-  rule_.on_fault(at(500));
+  rule_.on_control_fault(at(500));
   obeyed(4200, 1);
-  EXPECT_THAT(rule_.broken(), IsEmpty()) << "a fault 3.7 s before";
+  EXPECT_THAT(rule_.broken(), IsEmpty()) << "a fault of control 3.7 s before";
+  rule_.on_proxy_fault(0, at(550));
+  obeyed(4520, 1);
+  EXPECT_THAT(rule_.broken(), IsEmpty()) << "a fault of the proxy itself 3.97 s before";
+  rule_.on_proxy_fault(1, at(900));
   obeyed(4600, 1);
   EXPECT_THAT(rule_.broken(), ElementsAre(HasSubstr("in touch, 2 was acknowledged")));
 }
--- a/tests/soak/configuration_traffic.cpp
+++ b/tests/soak/configuration_traffic.cpp
@@ -29,6 +29,9 @@
 constexpr core::Duration kReadPause = milliseconds(40);
 /// Between two looks at one proxy, for each proxy that there is.
 constexpr core::Duration kWatchPause = milliseconds(20);
+/// For longer than a version has to come into force, so that a session outlives its route by far.
+constexpr core::Duration kHeldSessionTime = 2 * kInForceLimit;
+constexpr core::Duration kHeldSessionPause = milliseconds(100);
 /// Time for all replicas to answer after the last fault.
 constexpr milliseconds kReadBackLimit(12'000);
 /// Versions whose tables share a route, so that a proxy that is far behind is found in a few looks.
@@ -91,6 +94,7 @@
   }
   for (std::size_t proxy = 0; proxy < fleet_.proxies(); ++proxy) {
     spawn(watch(proxy));
+    spawn(hold_sessions(proxy));
   }
 }
 
@@ -258,11 +262,49 @@
   while (!stopped_) {
     if (const auto seen = co_await look_at(proxy)) {
       rule_.on_obeyed(*seen);
+      last_obeyed_[proxy] = seen->version;
     }
     co_await pause_for(fleet_.io(), pause);
   }
 }
 
+awaitable<void> ConfigurationTraffic::hold_sessions(std::size_t proxy) {
+  while (!stopped_) {
+    if (const auto obeyed = last_obeyed_.find(proxy); obeyed != last_obeyed_.end()) {
+      co_await hold_session(proxy, obeyed->second);
+    }
+    co_await pause_for(fleet_.io(), kHeldSessionPause);
+  }
+}
+
+/// Only this version has the route, so that whatever is served on it is served by this version.
+awaitable<void> ConfigurationTraffic::hold_session(std::size_t proxy, Version version) {
+  platform::Caller caller(fleet_.io(), fleet_.callers(proxy));
+  ObeyedVersion seen;
+  seen.proxy = proxy;
+  seen.version = version;
+  seen.started = fleet_.proxy_started(proxy);
+  std::string route = route_of(version);
+  if (co_await caller.start_session(std::move(route), kCallLimit) != platform::kSessionOpened) {
+    co_return;
+  }
+  const core::Instant end = core::BootClock::now() + kHeldSessionTime;
+  while (!stopped_ && core::BootClock::now() < end) {
+    seen.asked = core::BootClock::now();
+    const platform::Answer answer = co_await caller.ask("READ held");
+    seen.answered = core::BootClock::now();
+    const bool one_life = seen.started == fleet_.proxy_started(proxy);
+    if (!answer.connected || !one_life) {
+      co_return;
+    }
+    if (answer.ok()) {
+      ++held_reads_;
+      rule_.on_obeyed(seen);
+    }
+    co_await pause_for(fleet_.io(), kHeldSessionPause);
+  }
+}
+
 awaitable<std::optional<ObeyedVersion>> ConfigurationTraffic::look_at(std::size_t proxy) {
   ObeyedVersion seen;
   seen.proxy = proxy;
--- a/tests/soak/configuration_traffic.hpp
+++ b/tests/soak/configuration_traffic.hpp
@@ -6,6 +6,7 @@
 //
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -22,10 +23,12 @@
  public:
   ConfigurationTraffic(platform::PlatformFleet& fleet, ConfigurationRule& rule, std::uint64_t seed);
 
-  /// Two operators, a reader of each replica, and a watcher of each proxy.
+  /// Two operators, a reader of each replica, a watcher and a holder of sessions of each proxy.
   void start();
   void stop() { stopped_ = true; }
   [[nodiscard]] bool ended() const { return running_ == 0; }
+  /// Reads that were served on held sessions.
+  [[nodiscard]] std::size_t held_reads() const { return held_reads_; }
 
   /// Sends a new change beside whatever else goes on.
   void begin_change();
@@ -40,6 +43,8 @@
   boost::asio::awaitable<void> operate(Random random);
   boost::asio::awaitable<void> read_from(std::size_t replica);
   boost::asio::awaitable<void> watch(std::size_t proxy);
+  /// Holds a session on the route of one version after the other, also when a later version has dropped it.
+  boost::asio::awaitable<void> hold_sessions(std::size_t proxy);
 
   boost::asio::awaitable<void> send_new(std::uint64_t seed);
   boost::asio::awaitable<void> send_burst(Random& random);
@@ -51,6 +56,7 @@
   /// True when it was answered 200.
   boost::asio::awaitable<bool> read_once(std::size_t replica);
 
+  boost::asio::awaitable<void> hold_session(std::size_t proxy, Version version);
   /// The version that a proxy obeys; empty when no answer was clear.
   boost::asio::awaitable<std::optional<ObeyedVersion>> look_at(std::size_t proxy);
   boost::asio::awaitable<std::optional<Version>> find_obeyed(std::size_t proxy, ObeyedVersion& seen);
@@ -61,7 +67,9 @@
   platform::PlatformFleet& fleet_;
   ConfigurationRule& rule_;
   Random random_;
-  Version version_ = 1;  ///< Newest that was sent.
+  Version version_ = 1;                         ///< Newest that was sent.
+  std::map<std::size_t, Version> last_obeyed_;  ///< By proxy.
+  std::size_t held_reads_ = 0;
   bool stopped_ = false;
   std::size_t running_ = 0;
 };
--- a/tests/soak/control_faults.cpp
+++ b/tests/soak/control_faults.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 
 #include "soak/soak_faults.hpp"
 
@@ -17,8 +19,10 @@
 constexpr auto kCatchUp = std::chrono::seconds(6);
 constexpr auto kStopLimit = std::chrono::seconds(10);
 constexpr auto kDeathLimit = std::chrono::seconds(5);
-/// Machines of control that a run may replace: each leaves its settings and an address behind.
-constexpr std::size_t kMostReplaced = 3;
+/// How much longer a sync takes on a slow disk, at most; on one that stalls, for as long as the fault lasts.
+constexpr std::uint64_t kSlowSyncMillis = 400;
+constexpr auto kStalledSync = std::chrono::seconds(60);
+constexpr auto kAllSlowSync = milliseconds(40);
 /// Of a squeezed replica: how long it runs and stands still in turn.
 constexpr auto kSlice = milliseconds(40);
 constexpr std::size_t kSeeds = 3;
@@ -40,11 +44,11 @@
 std::optional<std::size_t> SoakFaults::draw_control() {
   const auto hit =
       static_cast<std::size_t>(std::count_if(active_.begin(), active_.end(), [](const Active& active) {
-        return active.subject.starts_with("control");
+        return active.subject.part == Part::kControl;
       }));
   const std::size_t number = draw(fleet_.controls());
-  const bool free = hit < spare_controls() && !is_hit("control, all") && !is_gone(number) &&
-                    !is_hit("control " + std::to_string(number));
+  const bool free = hit < spare_controls() && !is_hit({Part::kAllControl}) && !is_gone(number) &&
+                    !is_hit({Part::kControl, number});
   return free ? std::optional(number) : std::nullopt;
 }
 
@@ -54,7 +58,7 @@
     return;
   }
   const std::size_t number = *drawn;
-  const std::string subject = "control " + std::to_string(number);
+  const Subject subject{Part::kControl, number};
   process::Child& control = fleet_.control(number);
   switch (draw(8)) {
     case 0:
@@ -92,7 +96,7 @@
   }
 }
 
-void SoakFaults::stop_control(core::Instant now, std::size_t number, const std::string& subject) {
+void SoakFaults::stop_control(core::Instant now, std::size_t number, const Subject& subject) {
   fleet_.control(number).signal(SIGTERM);
   add(now, subject, "stop", [this, number] {
     fleet_.wait([&] { return !fleet_.control(number).running(); }, kStopLimit);
@@ -100,7 +104,7 @@
   });
 }
 
-void SoakFaults::lose_control_disk(core::Instant now, std::size_t number, const std::string& subject) {
+void SoakFaults::lose_control_disk(core::Instant now, std::size_t number, const Subject& subject) {
   if (now < next_lost_disk_) {
     return;
   }
@@ -113,9 +117,9 @@
   });
 }
 
-void SoakFaults::replace_control(core::Instant now, std::size_t number, const std::string& subject) {
+void SoakFaults::replace_control(core::Instant now, std::size_t number, const Subject& subject) {
   const bool has_spare = spare_controls() > 1;
-  if (now < next_lost_disk_ || gone_.size() >= kMostReplaced || !has_spare) {
+  if (now < next_lost_disk_ || gone_.size() >= kMostReplacedControls || !has_spare) {
     return;
   }
   kill(fleet_.control(number));
@@ -133,7 +137,7 @@
   next_lost_disk_ = core::BootClock::now() + kCatchUp;
 }
 
-void SoakFaults::squeeze_control(core::Instant now, std::size_t number, const std::string& subject) {
+void SoakFaults::squeeze_control(core::Instant now, std::size_t number, const Subject& subject) {
   squeezed_[number] = true;
   add(now, subject, "squeeze", [this, number] {
     squeezed_.erase(number);
@@ -182,6 +186,37 @@
   told_.push_back(std::to_string(core::to_millis(core::BootClock::now() - begun_)) + " ms: other seeds");
 }
 
+void SoakFaults::slow_disk(std::size_t control, milliseconds delay) {
+  const std::filesystem::path file = fleet_.control_settings(control).string() + ".sync";
+  if (delay.count() == 0) {
+    std::filesystem::remove(file);
+    return;
+  }
+  std::ofstream(file) << delay.count();
+}
+
+void SoakFaults::hit_disk(core::Instant now) {
+  if (draw(4) == 0 && !any_control_hit()) {
+    for (std::size_t number = 0; number < fleet_.controls(); ++number) {
+      slow_disk(number, kAllSlowSync);
+    }
+    add(now, {Part::kAllControl}, "slow the disks of", [this] {
+      for (std::size_t number = 0; number < fleet_.controls(); ++number) {
+        slow_disk(number, milliseconds(0));
+      }
+    });
+    return;
+  }
+  const auto drawn = draw_control();
+  if (!drawn) {
+    return;
+  }
+  const bool stalls = draw(3) == 0;
+  slow_disk(*drawn, stalls ? kStalledSync : milliseconds(20 + draw(kSlowSyncMillis)));
+  add(now, {Part::kControl, *drawn}, stalls ? "stall the disk of" : "slow the disk of",
+      [this, number = *drawn] { slow_disk(number, milliseconds(0)); });
+}
+
 void SoakFaults::kill_all_control(core::Instant now) {
   if (any_control_hit()) {
     return;
@@ -189,11 +224,11 @@
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
     kill(fleet_.control(number));
   }
-  add(now, "control, all", "kill", [this] { restart_all_control(); });
+  add(now, {Part::kAllControl}, "kill", [this] { restart_all_control(); });
 }
 
 std::set<std::size_t> SoakFaults::freeze_spare_controls() {
-  rule_.on_fault(core::BootClock::now());
+  rule_.on_control_fault(core::BootClock::now());
   std::set<std::size_t> frozen;
   while (frozen.size() < spare_controls()) {
     const std::size_t number = draw(fleet_.controls());
--- /dev/null
+++ b/tests/soak/machine_link_faults.cpp
@@ -0,0 +1,102 @@
+// Cut links between control replicas, proxies and operators, of SoakFaults.
+#include <array>
+
+#include "soak/soak_faults.hpp"
+
+namespace pipitpond::soak {
+
+LinkMode SoakFaults::draw_cut() {
+  constexpr std::array<LinkMode, 4> kCuts = {LinkMode::kSilent, LinkMode::kRefused, LinkMode::kSilentToTarget,
+                                             LinkMode::kSilentToClient};
+  return kCuts.at(draw(kCuts.size()));
+}
+
+void SoakFaults::hit_machine_link(core::Instant now) {
+  switch (draw(5)) {
+    case 0:
+      isolate_control(now);
+      break;
+    case 1:
+      separate_two_controls(now);
+      break;
+    case 2:
+    case 3:
+      isolate_proxy(now);
+      break;
+    default:
+      cut_operators(now);
+      break;
+  }
+}
+
+void SoakFaults::add_cut(core::Instant now, const Subject& subject, const std::string& what) {
+  add(now, subject, what, [this, subject] { machine_links_.join(to_string(subject)); });
+}
+
+/// As many replicas as control can spare are cut off from all others, at times together with proxies, which
+/// then reach only these.
+void SoakFaults::isolate_control(core::Instant now) {
+  const auto drawn = draw_control();
+  if (!drawn) {
+    return;
+  }
+  const Subject subject{Part::kControl, *drawn};
+  std::set<MachineName> side = {control_machine(*drawn)};
+  std::string with;
+  for (std::size_t proxy = 0; proxy < fleet_.proxies(); ++proxy) {
+    if (draw(4) == 0 && !is_hit({Part::kProxy, proxy})) {
+      side.insert(proxy_machine(proxy));
+      with += " with proxy " + std::to_string(proxy);
+      rule_.on_proxy_fault(proxy, now);
+    }
+  }
+  const LinkMode mode = draw_cut();
+  const bool operators_reach_both = draw(2) == 0;
+  machine_links_.isolate(to_string(subject), side, mode, operators_reach_both);
+  with += operators_reach_both ? ", but not from operators," : "";
+  add_cut(now, subject, std::string("isolate (") + to_string(mode) + ")" + with);
+}
+
+void SoakFaults::separate_two_controls(core::Instant now) {
+  const auto drawn = draw_control();
+  const std::size_t other = draw(fleet_.controls());
+  if (!drawn || other == *drawn || is_gone(other)) {
+    return;
+  }
+  const Subject subject{Part::kControl, *drawn};
+  const LinkMode mode = draw_cut();
+  machine_links_.separate(to_string(subject), control_machine(*drawn), control_machine(other), mode);
+  add_cut(now, subject,
+          std::string("separate (") + to_string(mode) + ") from control " + std::to_string(other) + ":");
+}
+
+void SoakFaults::isolate_proxy(core::Instant now) {
+  const std::size_t proxy = draw(fleet_.proxies());
+  const Subject subject{Part::kProxy, proxy};
+  if (is_hit(subject)) {
+    return;
+  }
+  const LinkMode mode = draw_cut();
+  const std::size_t control = draw(fleet_.controls());
+  if (draw(2) == 0) {
+    machine_links_.isolate(to_string(subject), {proxy_machine(proxy)}, mode);
+    add_cut(now, subject, std::string("isolate (") + to_string(mode) + ") from control");
+  } else {
+    machine_links_.separate(to_string(subject), proxy_machine(proxy), control_machine(control), mode);
+    add_cut(now, subject,
+            std::string("separate (") + to_string(mode) + ") from control " + std::to_string(control) + ":");
+  }
+}
+
+void SoakFaults::cut_operators(core::Instant now) {
+  const std::size_t control = draw(fleet_.controls());
+  const Subject subject{Part::kOperators, control};
+  if (is_hit(subject)) {
+    return;
+  }
+  const LinkMode mode = draw_cut();
+  machine_links_.separate(to_string(subject), kOperatorsMachine, control_machine(control), mode);
+  add_cut(now, subject, to_string(mode));
+}
+
+}  // namespace pipitpond::soak
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <fstream>
-
-#include "process/ports.hpp"
 
 namespace pipitpond::soak {
 
@@ -12,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t kMostAtOnce = 2;
+constexpr std::size_t kMostAtOnce = 3;
 constexpr auto kSupervisorInterval = milliseconds(300);
 constexpr auto kStormInterval = milliseconds(80);
 constexpr auto kSeriesInterval = milliseconds(150);
@@ -31,49 +28,30 @@
 
 }  // namespace
 
-// --- Links
-// -------------------------------------------------------------------------------------------------------
-
-DatabaseLinks::DatabaseLinks(const std::filesystem::path& folder, int databases, std::uint64_t seed) {
-  const auto count = static_cast<std::size_t>(databases);
-  ports_ = process::free_ports("127.0.0.1", count);
-  const auto link_ports = process::free_ports("127.0.0.1", count + 1);
-  admin_ = {"127.0.0.1", link_ports.back()};
-  const std::filesystem::path settings = folder / "links.toml";
-  std::ofstream file(settings);
-  file << "seed = " << seed % 1'000'000 + 1 << "\n[listen]\naddress = \"127.0.0.1\"\nport = " << admin_.port
-       << "\n";
-  for (std::size_t number = 0; number < count; ++number) {
-    links_.push_back({"127.0.0.1", link_ports[number]});
-    file << "[[links]]\nname = \"db" << number << "\"\nlisten = \"" << core::to_string(links_.back())
-         << "\"\ntarget = \"127.0.0.1:" << ports_[number] << "\"\n";
-  }
-  file.close();
-  process::ChildOptions options;
-  options.program = std::filesystem::path(std::getenv("PIPITPOND_BIN")) / "pipitpond-faultproxy";
-  options.arguments = {"--config", settings.string()};
-  options.output = folder / "links.log";
-  auto child = process::Child::start(options);
-  if (child) {
-    child_ = std::move(child.value());
+std::string to_string(const Subject& subject) {
+  switch (subject.part) {
+    case Part::kControl:
+      return "control " + std::to_string(subject.number);
+    case Part::kAllControl:
+      return "all of control";
+    case Part::kOperators:
+      return "operators at control " + std::to_string(subject.number);
+    case Part::kProxy:
+      return "proxy " + std::to_string(subject.number);
+    case Part::kDatabase:
+      return "database " + std::to_string(subject.number);
+    case Part::kDatabaseLink:
+      return "link to database " + std::to_string(subject.number);
   }
+  return "";
 }
 
-platform_stage::ServiceOptions DatabaseLinks::service() const {
-  platform_stage::ServiceOptions service;
-  service.databases = static_cast<int>(ports_.size());
-  service.ports = ports_;
-  service.advertised = links_;
-  return service;
-}
-
-// --- Faults
-// ------------------------------------------------------------------------------------------------------
-
-SoakFaults::SoakFaults(platform::PlatformFleet& fleet, const DatabaseLinks& links, ConfigurationRule& rule,
-                       ConfigurationTraffic& traffic, std::uint64_t seed)
+SoakFaults::SoakFaults(platform::PlatformFleet& fleet, const DatabaseLinks& database_links,
+                       MachineLinks& machine_links, ConfigurationRule& rule, ConfigurationTraffic& traffic,
+                       std::uint64_t seed)
     : fleet_(fleet),
-      links_(links),
+      database_links_(database_links),
+      machine_links_(machine_links),
       rule_(rule),
       traffic_(traffic),
       random_(seed),
@@ -86,7 +64,7 @@
       continue;
     }
     active->end();
-    rule_.on_fault(core::BootClock::now());
+    tell_rule(active->subject);
     active = active_.erase(active);
   }
   restart_ended(now);
@@ -97,6 +75,10 @@
     begin(now);
     next_ = now + milliseconds(200 + draw(900));
   }
+  if (now >= next_of_links_and_disks_ && active_.size() < kMostAtOnce) {
+    hit_link_or_disk(now);
+    next_of_links_and_disks_ = now + milliseconds(200 + draw(900));
+  }
 }
 
 /// What ends by itself is started again a little later, as any supervisor does.
@@ -106,26 +88,26 @@
   }
   next_look_ = now + kSupervisorInterval;
   for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
-    const std::string subject = "proxy " + std::to_string(number);
+    const Subject subject{Part::kProxy, number};
     if (!is_hit(subject) && !fleet_.proxy(number).running()) {
-      note_end(now, subject, fleet_.proxy(number));
+      note_end(subject, fleet_.proxy(number));
       restart_proxy(number);
     }
   }
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
-    const std::string subject = "control " + std::to_string(number);
+    const Subject subject{Part::kControl, number};
     if (!any_control_hit() && !is_gone(number) && !fleet_.control(number).running()) {
-      note_end(now, subject, fleet_.control(number));
+      note_end(subject, fleet_.control(number));
       restart_control(number);
     }
   }
 }
 
 /// A process may end itself, as over a disk that refuses it; a crash is a fault of ours.
-void SoakFaults::note_end(core::Instant now, const std::string& subject, process::Child& child) {
-  rule_.on_fault(now);
+void SoakFaults::note_end(const Subject& subject, process::Child& child) {
+  tell_rule(subject);
   const int code = child.wait(milliseconds(0)).value_or(0);
-  told_.push_back(subject + " had ended by itself with " + std::to_string(code));
+  told_.push_back(to_string(subject) + " had ended by itself with " + std::to_string(code));
   const bool crashed = code == kSignalled + SIGSEGV || code == kSignalled + SIGABRT ||
                        code == kSignalled + SIGBUS || code == kSignalled + SIGFPE ||
                        code == kSignalled + SIGILL;
@@ -140,24 +122,34 @@
   }
   active_.clear();
   restart_ended(core::Instant::max() - kSupervisorInterval);
-  rule_.on_fault(core::BootClock::now());
+  rule_.on_fault_everywhere(core::BootClock::now());
+}
+
+void SoakFaults::tell_rule(const Subject& subject) {
+  const core::Instant now = core::BootClock::now();
+  if (subject.part == Part::kControl || subject.part == Part::kAllControl) {
+    rule_.on_control_fault(now);
+  } else if (subject.part == Part::kProxy) {
+    rule_.on_proxy_fault(subject.number, now);
+  }
 }
 
-void SoakFaults::add(core::Instant now, const std::string& subject, const std::string& what,
+void SoakFaults::add(core::Instant now, const Subject& subject, const std::string& what,
                      std::function<void()> end) {
-  rule_.on_fault(now);
-  told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: " + what + " " + subject);
+  tell_rule(subject);
+  told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: " + what + " " + to_string(subject));
   active_.push_back(Active{subject, now + milliseconds(300 + draw(2500)), std::move(end)});
 }
 
-bool SoakFaults::is_hit(const std::string& subject) const {
+bool SoakFaults::is_hit(const Subject& subject) const {
   return std::any_of(active_.begin(), active_.end(),
                      [&](const Active& active) { return active.subject == subject; });
 }
 
 bool SoakFaults::any_control_hit() const {
-  return std::any_of(active_.begin(), active_.end(),
-                     [](const Active& active) { return active.subject.starts_with("control"); });
+  return std::any_of(active_.begin(), active_.end(), [](const Active& active) {
+    return active.subject.part == Part::kControl || active.subject.part == Part::kAllControl;
+  });
 }
 
 void SoakFaults::begin(core::Instant now) {
@@ -181,7 +173,7 @@
       break;
     case 9:
     case 10:
-      hit_link(now);
+      hit_database_link(now);
       break;
     case 11:
       begin_storm(now);
@@ -195,6 +187,14 @@
   }
 }
 
+void SoakFaults::hit_link_or_disk(core::Instant now) {
+  if (draw(4) == 0) {
+    hit_disk(now);
+  } else {
+    hit_machine_link(now);
+  }
+}
+
 void SoakFaults::begin_storm(core::Instant now) {
   told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: changes in quick succession");
   storm_ends_ = now + milliseconds(500 + draw(2500));
@@ -253,11 +253,11 @@
   }
   restart_all_control();
   restart_all_proxies();
-  rule_.on_fault(core::BootClock::now());
+  rule_.on_fault_everywhere(core::BootClock::now());
 }
 
 void SoakFaults::kill_everything() {
-  rule_.on_fault(core::BootClock::now());
+  rule_.on_fault_everywhere(core::BootClock::now());
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
     fleet_.control(number).signal(SIGKILL);
   }
@@ -291,7 +291,7 @@
 
 void SoakFaults::hit_proxy(core::Instant now) {
   const std::size_t number = draw(fleet_.proxies());
-  const std::string subject = "proxy " + std::to_string(number);
+  const Subject subject{Part::kProxy, number};
   if (is_hit(subject)) {
     return;
   }
@@ -313,15 +313,16 @@
       });
       break;
     default:
+      // No fault: the proxy stays in touch.
       proxy.signal(SIGHUP);
-      add(now, subject, "hang up", [] {});
+      told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: hang up " + to_string(subject));
       break;
   }
 }
 
 void SoakFaults::hit_database(core::Instant now) {
   const std::size_t number = draw(3);
-  const std::string subject = "database " + std::to_string(number);
+  const Subject subject{Part::kDatabase, number};
   if (is_hit(subject)) {
     return;
   }
@@ -354,21 +355,16 @@
   }
 }
 
-void SoakFaults::set_link(std::size_t number, const char* mode) {
-  fleet_.call(links_.admin(), "POST", "/v1/links/db" + std::to_string(number),
-              std::string("{\"mode\":\"") + mode + "\"}");
-}
-
-void SoakFaults::hit_link(core::Instant now) {
+void SoakFaults::hit_database_link(core::Instant now) {
   const std::size_t number = draw(3);
-  const std::string subject = "link " + std::to_string(number);
+  const Subject subject{Part::kDatabaseLink, number};
   if (is_hit(subject)) {
     return;
   }
-  const char* mode =
-      std::array<const char*, 4>{"cut", "refuse", "cut_to_target", "cut_to_client"}.at(draw(4));
-  set_link(number, mode);
-  add(now, subject, mode, [this, number] { set_link(number, "pass"); });
+  const LinkMode mode = draw_cut();
+  database_links_.set(fleet_, number, mode);
+  add(now, subject, to_string(mode),
+      [this, number] { database_links_.set(fleet_, number, LinkMode::kPass); });
 }
 
 }  // namespace pipitpond::soak
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -1,5 +1,5 @@
-// Faults of a soak run, drawn by its seed: signals, lost and full disks, clocks, databases, and the links to
-// them behind the fault proxy. Each ends by itself after a while.
+// Faults of a soak run, drawn by its seed: signals, lost, slow and full disks, clocks, databases, and cut
+// links. Each ends by itself after a while.
 #pragma once
 
 #include <cstdint>
@@ -13,37 +13,36 @@
 #include <vector>
 
 #include "core/clock.hpp"
-#include "core/endpoint.hpp"
 #include "platform_support/platform_fleet.hpp"
 #include "process/child.hpp"
 #include "soak/configuration_rule.hpp"
 #include "soak/configuration_traffic.hpp"
+#include "soak/fault_links.hpp"
 
 namespace pipitpond::soak {
 
-/// Databases behind a real fault proxy.
-class DatabaseLinks {
- public:
-  /// Takes ports and starts the fault proxy.
-  DatabaseLinks(const std::filesystem::path& folder, int databases, std::uint64_t seed);
+/// What a fault hits.
+enum class Part : std::uint8_t { kControl, kAllControl, kOperators, kProxy, kDatabase, kDatabaseLink };
 
-  /// The service whose databases are behind the links.
-  [[nodiscard]] platform_stage::ServiceOptions service() const;
-  [[nodiscard]] const core::Endpoint& admin() const { return admin_; }
+/// One machine or link. Of `kAllControl` the number has no meaning.
+struct Subject {
+  Part part = Part::kControl;
+  std::size_t number = 0;
 
- private:
-  std::vector<std::uint16_t> ports_;
-  std::vector<core::Endpoint> links_;
-  core::Endpoint admin_;
-  std::unique_ptr<process::Child> child_;
+  bool operator==(const Subject&) const = default;
 };
 
+std::string to_string(const Subject& subject);
+
+/// Control machines that a run may replace: each leaves its settings and an address behind.
+inline constexpr std::size_t kMostReplacedControls = 3;
+
 /// Brings faults about.
 class SoakFaults {
  public:
   /// Tells the rule of each fault of control and of proxies. Changes go through the traffic.
-  SoakFaults(platform::PlatformFleet& fleet, const DatabaseLinks& links, ConfigurationRule& rule,
-             ConfigurationTraffic& traffic, std::uint64_t seed);
+  SoakFaults(platform::PlatformFleet& fleet, const DatabaseLinks& database_links, MachineLinks& machine_links,
+             ConfigurationRule& rule, ConfigurationTraffic& traffic, std::uint64_t seed);
 
   /// Ends what is due and, unless enough is going on, begins something. Call often.
   void step(core::Instant now);
@@ -66,21 +65,24 @@
  private:
   /// One fault under way.
   struct Active {
-    std::string subject;  ///< Has one fault at a time.
+    Subject subject;  ///< Has one fault at a time.
     core::Instant ends;
     std::function<void()> end;
   };
 
   void restart_ended(core::Instant now);
-  void note_end(core::Instant now, const std::string& subject, process::Child& child);
+  void note_end(const Subject& subject, process::Child& child);
   void begin(core::Instant now);
-  void add(core::Instant now, const std::string& subject, const std::string& what, std::function<void()> end);
-  [[nodiscard]] bool is_hit(const std::string& subject) const;
+  void hit_link_or_disk(core::Instant now);
+  void add(core::Instant now, const Subject& subject, const std::string& what, std::function<void()> end);
+  [[nodiscard]] bool is_hit(const Subject& subject) const;
   [[nodiscard]] bool any_control_hit() const;
+  /// The rule's time in touch begins anew for whom the fault concerns.
+  void tell_rule(const Subject& subject);
 
   void hit_proxy(core::Instant now);
   void hit_database(core::Instant now);
-  void hit_link(core::Instant now);
+  void hit_database_link(core::Instant now);
   /// Changes in quick succession, beside whatever else goes on.
   void begin_storm(core::Instant now);
   void step_storm(core::Instant now);
@@ -102,27 +104,41 @@
   void restart_all_control();
   /// As many replicas as control can spare miss what follows, until they are killed.
   std::set<std::size_t> freeze_spare_controls();
-  void stop_control(core::Instant now, std::size_t number, const std::string& subject);
-  void lose_control_disk(core::Instant now, std::size_t number, const std::string& subject);
+  void stop_control(core::Instant now, std::size_t number, const Subject& subject);
+  void lose_control_disk(core::Instant now, std::size_t number, const Subject& subject);
   /// Kills a machine for good; an empty one at another address takes its place.
-  void replace_control(core::Instant now, std::size_t number, const std::string& subject);
+  void replace_control(core::Instant now, std::size_t number, const Subject& subject);
   /// Lets a replica run only part of the time, in slices, as under a small share of a processor.
-  void squeeze_control(core::Instant now, std::size_t number, const std::string& subject);
+  void squeeze_control(core::Instant now, std::size_t number, const Subject& subject);
   void step_squeezed(core::Instant now);
   void exchange_seeds();
   [[nodiscard]] std::vector<std::size_t> draw_seeds();
   void disk_is_lost_until_caught_up();
   void shift_clock();
-  void set_link(std::size_t number, const char* mode);
+  /// Each sync of a replica's disk takes so much longer; zero ends that.
+  void slow_disk(std::size_t control, std::chrono::milliseconds delay);
+  void hit_disk(core::Instant now);
+
+  // Links between machines (machine_link_faults.cpp).
+  void hit_machine_link(core::Instant now);
+  void isolate_control(core::Instant now);
+  void separate_two_controls(core::Instant now);
+  void isolate_proxy(core::Instant now);
+  void cut_operators(core::Instant now);
+  LinkMode draw_cut();
+  void add_cut(core::Instant now, const Subject& subject, const std::string& what);
+
   std::uint64_t draw(std::uint64_t below) { return random_() % below; }
 
   platform::PlatformFleet& fleet_;
-  const DatabaseLinks& links_;
+  const DatabaseLinks& database_links_;
+  MachineLinks& machine_links_;
   ConfigurationRule& rule_;
   ConfigurationTraffic& traffic_;
   std::mt19937_64 random_;
   core::Instant begun_;
   core::Instant next_{};
+  core::Instant next_of_links_and_disks_{};
   core::Instant next_lost_disk_{};
   core::Instant next_look_{};
   core::Instant next_storm_change_{};
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -65,10 +65,13 @@
  public:
   SoakRun(std::uint64_t seed, const FleetSize& size)
       : folder_(run_folder(seed)),
-        links_(folder_, kDatabases, seed),
-        fleet_(links_.service(), size.controls, size.proxies),
+        database_links_(folder_, kDatabases, seed),
+        fleet_(database_links_.service(), size.controls, size.proxies,
+               [this, seed](platform::PlatformFleet& fleet) {
+                 machine_links_ = std::make_unique<MachineLinks>(fleet, kMostReplacedControls, seed);
+               }),
         traffic_(fleet_, rule_, seed ^ kTrafficSeed),
-        faults_(fleet_, links_, rule_, traffic_, seed) {
+        faults_(fleet_, database_links_, *machine_links_, rule_, traffic_, seed) {
     std::vector<core::Endpoint> proxies;
     for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
       proxies.push_back(fleet_.callers(number));
@@ -175,6 +178,7 @@
     return broken;
   }
   [[nodiscard]] const ConfigurationRule& rule() const { return rule_; }
+  [[nodiscard]] std::size_t held_reads() const { return traffic_.held_reads(); }
   [[nodiscard]] const std::vector<std::string>& crashes() const { return faults_.crashes(); }
 
   [[nodiscard]] std::size_t operations() const { return operations_; }
@@ -246,11 +250,12 @@
   }
 
   std::filesystem::path folder_;
-  DatabaseLinks links_;
+  DatabaseLinks database_links_;
   std::vector<std::unique_ptr<SoakCaller>>
       callers_;                     ///< Outlive the fleet's io_context and their coroutines in it.
   std::vector<ProxyProbe> probes_;  ///< Of the return from the loss of everything; outlives its coroutines.
   ConfigurationRule rule_;
+  std::unique_ptr<MachineLinks> machine_links_;  ///< Made while the fleet is.
   platform::PlatformFleet fleet_;
   ConfigurationTraffic traffic_;
   SoakFaults faults_;
@@ -285,8 +290,9 @@
   }
   std::cout << "soak: seed " << seed << ", " << run.operations() << " operations, "
             << run.rule().acknowledged().size() << " versions, " << run.rule().reads() << " reads, "
-            << run.rule().observations() << " looks at proxies, "
-            << broken.size() + run.rule().broken().size() << " broken promises" << std::endl;
+            << run.rule().observations() << " looks at proxies, " << run.held_reads()
+            << " of them on held sessions, " << broken.size() + run.rule().broken().size()
+            << " broken promises" << std::endl;
 }
 
 class SoakSeeds : public ::testing::TestWithParam<std::uint64_t> {};
