--- /dev/null
+++ b/tests/pooling/caller_session_fixture.hpp
@@ -0,0 +1,102 @@
+// A fleet of fake databases behind one proxy, for tests of callers' sessions.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "pooling/caller_session.hpp"
+#include "pooling/fake_backends.hpp"
+#include "support/coroutine.hpp"
+
+namespace pipitpond::pooling {
+
+/// One group of the databases "a", its primary, "b" and "c". The proxy is in the zone of "b".
+class CallerSessionTest : public ::testing::Test {
+ protected:
+  CallerSessionTest()
+      : connector_(io_),
+        backends_(io_, connector_, agent_, core::DaemonId("d"), core::ZoneName("zone-b")),
+        access_(io_, agent_, core::DaemonId("d"), core::ZoneName("zone-b"), AccessOptions{}),
+        services_{io_, backends_, routes_, access_, counters_, times_, {}} {
+    connector_.database("a").primary = true;
+    agent_.set_configuration(example_configuration());
+    apply();
+  }
+
+  void apply() {
+    routes_.apply(agent_.configuration().routes);
+    access_.apply(core::BootClock::now(), agent_.configuration());
+    backends_.apply(agent_.configuration());
+  }
+
+  /// Applies a failover: an empty `primary` begins a new term without a primary, a name sets its
+  /// primary.
+  void change_primary(const std::string& primary) {
+    protocol::Configuration configuration = agent_.configuration();
+    protocol::Group& group = configuration.groups.begin()->second;
+    const core::Term term = group.terms.back().term;
+    const bool begins_term = primary.empty();
+    if (begins_term) {
+      group.terms.push_back(protocol::TermStart{term + 1, {}, {}});
+    } else {
+      group.terms.back().primary = core::DatabaseId(primary);
+    }
+    ++configuration.revision;
+    agent_.set_configuration(configuration);
+    apply();
+  }
+
+  /// Adds a group like the first one, with databases of its own, and lets this route lead there.
+  void move_route_to_another_group(const std::string& name) {
+    protocol::Configuration configuration = agent_.configuration();
+    protocol::Group other = configuration.groups.begin()->second;
+    other.name = core::GroupName("other");
+    for (protocol::Database& database : other.databases) {
+      database.id = core::DatabaseId("other-" + database.id.value());
+      database.endpoint.port += 100;
+    }
+    other.terms = {protocol::TermStart{1, core::DatabaseId("other-a"), {}}};
+    configuration.groups[other.name] = other;
+    for (protocol::Route& route : configuration.routes.routes) {
+      route.group = route.name == name ? other.name : route.group;
+    }
+    ++configuration.routes.version;
+    ++configuration.revision;
+    connector_.database("other-a").primary = true;
+    agent_.set_configuration(configuration);
+    apply();
+  }
+
+  StatementReply run(CallerSession& session, Statement statement) {
+    return pipitpond::testing::run(io_, session.run(std::move(statement)));
+  }
+
+  /// Lets the daemon learn a log position of the primary.
+  void learn_position() {
+    CallerSession session(services_, "writes");
+    ASSERT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
+  }
+
+  /// Keeps the databases from confirming the primary: the replicas do not report their status.
+  void stop_replica_status() {
+    connector_.database("b").fails_status = true;
+    connector_.database("c").fails_status = true;
+  }
+
+  std::vector<RanStatement>& ran(const std::string& id) { return connector_.database(id).ran; }
+
+  boost::asio::io_context io_;
+  FakeConnector connector_;
+  FakeAgent agent_;
+  Backends backends_;
+  Routes routes_;
+  CallerAccess access_;
+  PoolingCounters counters_;
+  StatementTimes times_;
+  SessionServices services_;
+};
+
+}  // namespace pipitpond::pooling
--- a/tests/pooling/caller_session_test.cpp
+++ b/tests/pooling/caller_session_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "pooling/fake_backends.hpp"
+#include "pooling/caller_session_fixture.hpp"
 #include "support/coroutine.hpp"
 
 namespace pipitpond::pooling {
@@ -10,91 +10,6 @@
 
 using std::chrono::milliseconds;
 
-class CallerSessionTest : public ::testing::Test {
- protected:
-  CallerSessionTest()
-      : connector_(io_),
-        backends_(io_, connector_, agent_, core::DaemonId("d"), core::ZoneName("zone-b")),
-        access_(io_, agent_, core::DaemonId("d"), core::ZoneName("zone-b"), AccessOptions{}),
-        services_{io_, backends_, routes_, access_, counters_, times_, {}} {
-    connector_.database("a").primary = true;
-    agent_.set_configuration(example_configuration());
-    apply();
-  }
-
-  void apply() {
-    routes_.apply(agent_.configuration().routes);
-    access_.apply(core::BootClock::now(), agent_.configuration());
-    backends_.apply(agent_.configuration());
-  }
-
-  /// Applies a failover: an empty `primary` begins a new term without a primary, a name sets its
-  /// primary.
-  void change_primary(const std::string& primary) {
-    protocol::Configuration configuration = agent_.configuration();
-    protocol::Group& group = configuration.groups.begin()->second;
-    const core::Term term = group.terms.back().term;
-    const bool begins_term = primary.empty();
-    if (begins_term) {
-      group.terms.push_back(protocol::TermStart{term + 1, {}, {}});
-    } else {
-      group.terms.back().primary = core::DatabaseId(primary);
-    }
-    ++configuration.revision;
-    agent_.set_configuration(configuration);
-    apply();
-  }
-
-  /// Adds a group like the first one, with databases of its own, and lets this route lead there.
-  void move_route_to_another_group(const std::string& name) {
-    protocol::Configuration configuration = agent_.configuration();
-    protocol::Group other = configuration.groups.begin()->second;
-    other.name = core::GroupName("other");
-    for (protocol::Database& database : other.databases) {
-      database.id = core::DatabaseId("other-" + database.id.value());
-      database.endpoint.port += 100;
-    }
-    other.terms = {protocol::TermStart{1, core::DatabaseId("other-a"), {}}};
-    configuration.groups[other.name] = other;
-    for (protocol::Route& route : configuration.routes.routes) {
-      route.group = route.name == name ? other.name : route.group;
-    }
-    ++configuration.routes.version;
-    ++configuration.revision;
-    connector_.database("other-a").primary = true;
-    agent_.set_configuration(configuration);
-    apply();
-  }
-
-  StatementReply run(CallerSession& session, Statement statement) {
-    return pipitpond::testing::run(io_, session.run(std::move(statement)));
-  }
-
-  /// Lets the daemon learn a log position of the primary.
-  void learn_position() {
-    CallerSession session(services_, "writes");
-    ASSERT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
-  }
-
-  /// Keeps the databases from confirming the primary: the replicas do not report their status.
-  void stop_replica_status() {
-    connector_.database("b").fails_status = true;
-    connector_.database("c").fails_status = true;
-  }
-
-  std::vector<RanStatement>& ran(const std::string& id) { return connector_.database(id).ran; }
-
-  boost::asio::io_context io_;
-  FakeConnector connector_;
-  FakeAgent agent_;
-  Backends backends_;
-  Routes routes_;
-  CallerAccess access_;
-  PoolingCounters counters_;
-  StatementTimes times_;
-  SessionServices services_;
-};
-
 // --- Where statements run
 // ----------------------------------------------------------------------------------------
 
@@ -384,92 +299,6 @@
   EXPECT_EQ(ran("c").size(), 1U);
 }
 
-// --- Transactions
-// -------------------------------------------------------------------------------------------------
-
-TEST_F(CallerSessionTest, ATransactionKeepsItsConnection) {
-  CallerSession session(services_, "writes");
-  CallerSession other(services_, "writes");
-  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
-  ASSERT_FALSE(run(other, example_statement(StatementKind::kRead)).failure);
-  ASSERT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
-  ASSERT_FALSE(run(session, example_statement(StatementKind::kCommit, "")).failure);
-  const auto& all = ran("a");
-  ASSERT_EQ(all.size(), 4U);
-  EXPECT_EQ(all[0].connection, all[2].connection);
-  EXPECT_NE(all[0].connection, all[1].connection);
-  EXPECT_EQ(session.state(), TransactionState::kIdle);
-}
-
-TEST_F(CallerSessionTest, AStatementInATransactionIsRetriedIfTheDatabaseHadNoFreeSlot) {
-  // Without a retry, a primary that briefly has no free slot aborts open transactions; 227 in 6 s were seen.
-  CallerSession session(services_, "writes");
-  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
-  connector_.database("a").next_failures = {FailureCode::kBusy, FailureCode::kBusy};
-  EXPECT_FALSE(run(session, example_statement(StatementKind::kWrite, "thing data")).failure);
-  connector_.database("a").next_failures = {FailureCode::kBusy};
-  EXPECT_FALSE(run(session, example_statement(StatementKind::kCommit, "")).failure);
-  EXPECT_EQ(ran("a").size(), 3U);
-  EXPECT_EQ(session.state(), TransactionState::kIdle);
-}
-
-TEST_F(CallerSessionTest, AStatementInATransactionIsNotRetriedForItsWholeTimeout) {
-  CallerSession session(services_, "writes");
-  ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
-  connector_.database("a").next_failures.assign(1000, FailureCode::kBusy);
-  const core::Instant begun = core::BootClock::now();
-  const StatementReply reply = run(session, example_statement(StatementKind::kWrite, "thing data"));
-  ASSERT_TRUE(reply.failure);
-  EXPECT_EQ(reply.failure->code, FailureCode::kBusy);
-  EXPECT_LT(core::BootClock::now() - begun, milliseconds(250));
-}
-
-TEST_F(CallerSessionTest, ACommitWhoseAnswerIsLostHasAnUnknownOutcome) {
-  CallerSession session(services_, "writes");
-  run(session, example_statement(StatementKind::kBegin, ""));
-  run(session, example_statement(StatementKind::kWrite, "thing data"));
-  connector_.database("a").break_after_running = true;
-  const StatementReply reply = run(session, example_statement(StatementKind::kCommit, ""));
-  ASSERT_TRUE(reply.failure);
-  EXPECT_EQ(reply.failure->code, FailureCode::kUnsure);
-  EXPECT_EQ(session.state(), TransactionState::kIdle);
-}
-
-TEST_F(CallerSessionTest, ATransactionWhoseConnectionIsLostBeforeItsCommitIsAborted) {
-  CallerSession session(services_, "writes");
-  run(session, example_statement(StatementKind::kBegin, ""));
-  connector_.database("a").break_after_running = true;
-  const StatementReply lost = run(session, example_statement(StatementKind::kWrite, "thing data"));
-  ASSERT_TRUE(lost.failure);
-  EXPECT_EQ(lost.failure->code, FailureCode::kAborted);
-  EXPECT_EQ(session.state(), TransactionState::kFailed);
-  EXPECT_EQ(run(session, example_statement(StatementKind::kRead)).failure->code, FailureCode::kBad);
-  EXPECT_EQ(run(session, example_statement(StatementKind::kCommit, "")).failure->code, FailureCode::kAborted);
-  EXPECT_EQ(session.state(), TransactionState::kIdle);
-}
-
-TEST_F(CallerSessionTest, AnIdleTransactionIsAborted) {
-  CallerSession session(services_, "writes");
-  run(session, example_statement(StatementKind::kBegin, ""));
-  session.end_transaction_if_idle(core::BootClock::now());
-  EXPECT_EQ(session.state(), TransactionState::kOpen);
-  session.end_transaction_if_idle(core::BootClock::now() + milliseconds(250));
-  EXPECT_EQ(session.state(), TransactionState::kFailed);
-  const StatementReply reply = run(session, example_statement(StatementKind::kCommit, ""));
-  EXPECT_EQ(reply.failure->code, FailureCode::kAborted);
-  EXPECT_EQ(backends_.pools()[0]->in_use(), 0U);
-}
-
-TEST_F(CallerSessionTest, ASessionThatEndsInATransactionClosesItsConnection) {
-  {
-    CallerSession session(services_, "writes");
-    run(session, example_statement(StatementKind::kBegin, ""));
-  }
-  CallerSession next(services_, "writes");
-  run(next, example_statement(StatementKind::kRead));
-  EXPECT_EQ(ran("a").back().connection, 2);
-}
-
 // --- Session values and prepared statements
 // ----------------------------------------------------------------------------------------
 
