The soak bounds lateness also while a minority of control is disturbed all the time

So far the soak judged lateness only when nothing had been hit for 4 s. The rule now knows which replicas were hit when; in a third of the runs only one minority is ever hit, so that the bound applies in runs of over 15 s. Proxies that are cut off together with a replica count as hit at the cut's end too.

--- a/tests/soak/configuration_rule.cpp
+++ b/tests/soak/configuration_rule.cpp
@@ -64,10 +64,11 @@
   if (seen.version < owed_at_start) {
     blame("started behind", who + ", " + number(owed_at_start) + " was acknowledged before it started");
   }
-  const Version owed = newest_acknowledged(seen.asked - kInForceLimit);
-  if (in_touch(seen.proxy, seen.asked) && seen.version < owed) {
+  const auto limit = in_force_limit(seen.proxy, seen.asked);
+  const Version owed = limit ? newest_acknowledged(seen.asked - *limit) : 0;
+  if (seen.version < owed) {
     blame("late", who + " in touch, " + number(owed) + " was acknowledged more than " +
-                      std::to_string(core::to_millis(kInForceLimit)) + " ms before");
+                      std::to_string(core::to_millis(*limit)) + " ms before");
   }
   if (!same_life || seen.version >= last.version) {
     last = LastSeen{seen.started, seen.answered, seen.version};
@@ -79,10 +80,38 @@
   last = std::max(last, at);
 }
 
-bool ConfigurationRule::in_touch(std::size_t proxy, core::Instant at) const {
+void ConfigurationRule::on_control_fault(std::size_t replica, core::Instant at) {
+  core::Instant& last = last_control_fault_[replica];
+  last = std::max(last, at);
+}
+
+void ConfigurationRule::on_fault_of_all_control(core::Instant at) {
+  for (std::size_t replica = 0; replica < controls_; ++replica) {
+    on_control_fault(replica, at);
+  }
+}
+
+bool ConfigurationRule::is_calm(std::size_t proxy, core::Instant at) const {
   const auto own = last_proxy_fault_.find(proxy);
-  const core::Instant own_fault = own == last_proxy_fault_.end() ? core::Instant{} : own->second;
-  return at >= std::max(last_control_fault_, own_fault) + kContactTime;
+  return own == last_proxy_fault_.end() || at >= own->second + kContactTime;
+}
+
+std::size_t ConfigurationRule::controls_hit_after(core::Instant moment) const {
+  return static_cast<std::size_t>(
+      std::count_if(last_control_fault_.begin(), last_control_fault_.end(),
+                    [moment](const auto& fault) { return fault.second > moment; }));
+}
+
+std::optional<core::Duration> ConfigurationRule::in_force_limit(std::size_t proxy, core::Instant at) const {
+  constexpr core::Duration kDisturbedLimit = kInForceLimit + kDisturbedControlLimit;
+  if (!is_calm(proxy, at)) {
+    return std::nullopt;
+  }
+  if (controls_hit_after(at - kContactTime) == 0) {
+    return kInForceLimit;
+  }
+  const bool majority_ran_throughout = 2 * controls_hit_after(at - kDisturbedLimit) < controls_;
+  return majority_ran_throughout ? std::optional(kDisturbedLimit) : std::nullopt;
 }
 
 Version ConfigurationRule::newest_acknowledged(core::Instant before) const {
--- a/tests/soak/configuration_rule.hpp
+++ b/tests/soak/configuration_rule.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,9 @@
 /// Proxies and control count as in touch after so long without a fault.
 inline constexpr core::Duration kContactTime = std::chrono::seconds(4);
 
+/// By so much a change may be later while control is disturbed, but more than half of it is not.
+inline constexpr core::Duration kDisturbedControlLimit = std::chrono::seconds(12);
+
 /// What a caller learned of one proxy.
 struct ObeyedVersion {
   std::size_t proxy = 0;
@@ -30,6 +34,8 @@
 /// Collects what is said, and each broken promise.
 class ConfigurationRule {
  public:
+  explicit ConfigurationRule(std::size_t controls) : controls_(controls) {}
+
   /// A valid change is about to be sent for the first time.
   void on_sent(Version version, std::string body) { bodies_.emplace(version, std::move(body)); }
   /// Control answered a valid change 200.
@@ -43,12 +49,12 @@
   void on_read(std::size_t replica, core::Instant sent, const std::string& body);
   /// A proxy served, by the routes of a version.
   void on_obeyed(const ObeyedVersion& seen);
-  /// A fault hit control, or ended: no proxy counts as in touch for a while.
-  void on_control_fault(core::Instant at) { last_control_fault_ = std::max(last_control_fault_, at); }
+  /// A fault hit a control replica, or ended: no proxy counts as in touch for a while.
+  void on_control_fault(std::size_t replica, core::Instant at);
+  /// The same for all replicas at once.
+  void on_fault_of_all_control(core::Instant at);
   /// A fault hit one proxy or its way to control, or ended.
   void on_proxy_fault(std::size_t proxy, core::Instant at);
-  /// Everything was hit, or has returned.
-  void on_fault_everywhere(core::Instant at) { on_control_fault(at); }
 
   /// Newest version that was acknowledged before a moment; 0: none.
   [[nodiscard]] Version newest_acknowledged(core::Instant before) const;
@@ -68,14 +74,19 @@
     Version version = 0;
   };
 
-  [[nodiscard]] bool in_touch(std::size_t proxy, core::Instant at) const;
+  [[nodiscard]] bool is_calm(std::size_t proxy, core::Instant at) const;
+  /// How many replicas were hit after a moment.
+  [[nodiscard]] std::size_t controls_hit_after(core::Instant moment) const;
+  /// For how long a proxy may lack an acknowledged change; empty when no bound holds.
+  [[nodiscard]] std::optional<core::Duration> in_force_limit(std::size_t proxy, core::Instant at) const;
   /// Kinds are told apart so that one that lasts doesn't hide the others.
   void blame(const std::string& kind, const std::string& text);
 
   std::map<Version, std::string> bodies_;          ///< Valid ones, as sent.
   std::map<Version, core::Instant> acknowledged_;  ///< First acknowledgement.
   std::map<std::size_t, LastSeen> last_seen_;      ///< By proxy.
-  core::Instant last_control_fault_{};
+  std::size_t controls_;
+  std::map<std::size_t, core::Instant> last_control_fault_;
   std::map<std::size_t, core::Instant> last_proxy_fault_;
   std::size_t reads_ = 0;
   std::size_t observations_ = 0;
--- a/tests/soak/configuration_rule_test.cpp
+++ b/tests/soak/configuration_rule_test.cpp
@@ -22,7 +22,7 @@
 
 class ConfigurationRuleTest : public ::testing::Test {
  protected:
-  ConfigurationRuleTest() {
+  ConfigurationRuleTest() : rule_(5) {
     for (const Version version : {1, 2, 3}) {
       rule_.on_sent(version, body_of(version));
     }
@@ -85,7 +85,7 @@
 }
 
 TEST_F(ConfigurationRuleTest, FindsALateProxyOnlyInTouch) {
-  rule_.on_control_fault(at(500));
+  rule_.on_control_fault(0, at(500));
   obeyed(4200, 1);
   EXPECT_THAT(rule_.broken(), IsEmpty()) << "a fault of control 3.7 s before";
   rule_.on_proxy_fault(0, at(550));
@@ -96,5 +96,23 @@
   EXPECT_THAT(rule_.broken(), ElementsAre(HasSubstr("in touch, 2 was acknowledged")));
 }
 
+TEST_F(ConfigurationRuleTest, FindsAProxyThatIsLateByFarWhileAMinorityOfControlIsDisturbed) {
+  for (int millis = 500; millis <= 16'500; millis += 1000) {
+    rule_.on_control_fault(static_cast<std::size_t>(millis / 1000 % 2), at(millis));
+  }
+  obeyed(15'900, 1);
+  EXPECT_THAT(rule_.broken(), IsEmpty()) << "14.9 s after the acknowledgement";
+  obeyed(16'100, 1);
+  EXPECT_THAT(rule_.broken(), ElementsAre(HasSubstr("more than 15000 ms before")));
+}
+
+TEST_F(ConfigurationRuleTest, NoBoundHoldsWhileMostOfControlIsDisturbed) {
+  for (const std::size_t replica : {0, 1, 2}) {
+    rule_.on_control_fault(replica, at(16'000));
+  }
+  obeyed(16'100, 1);
+  EXPECT_THAT(rule_.broken(), IsEmpty());
+}
+
 }  // namespace
 }  // namespace pipitpond::soak
--- a/tests/soak/control_faults.cpp
+++ b/tests/soak/control_faults.cpp
@@ -41,6 +41,12 @@
 
 }  // namespace
 
+void SoakFaults::spare_majority() {
+  while (2 * spared_controls_.size() <= fleet_.controls()) {
+    spared_controls_.insert(draw(fleet_.controls()));
+  }
+}
+
 std::optional<std::size_t> SoakFaults::draw_control() {
   const auto hit =
       static_cast<std::size_t>(std::count_if(active_.begin(), active_.end(), [](const Active& active) {
@@ -48,7 +54,7 @@
       }));
   const std::size_t number = draw(fleet_.controls());
   const bool free = hit < spare_controls() && !is_hit({Part::kAllControl}) && !is_gone(number) &&
-                    !is_hit({Part::kControl, number});
+                    !is_hit({Part::kControl, number}) && !spared_controls_.contains(number);
   return free ? std::optional(number) : std::nullopt;
 }
 
@@ -196,7 +202,7 @@
 }
 
 void SoakFaults::hit_disk(core::Instant now) {
-  if (draw(4) == 0 && !any_control_hit()) {
+  if (draw(4) == 0 && !any_control_hit() && spared_controls_.empty()) {
     for (std::size_t number = 0; number < fleet_.controls(); ++number) {
       slow_disk(number, kAllSlowSync);
     }
@@ -218,7 +224,7 @@
 }
 
 void SoakFaults::kill_all_control(core::Instant now) {
-  if (any_control_hit()) {
+  if (any_control_hit() || !spared_controls_.empty()) {
     return;
   }
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
@@ -228,7 +234,7 @@
 }
 
 std::set<std::size_t> SoakFaults::freeze_spare_controls() {
-  rule_.on_control_fault(core::BootClock::now());
+  rule_.on_fault_of_all_control(core::BootClock::now());
   std::set<std::size_t> frozen;
   while (frozen.size() < spare_controls()) {
     const std::size_t number = draw(fleet_.controls());
--- a/tests/soak/machine_link_faults.cpp
+++ b/tests/soak/machine_link_faults.cpp
@@ -33,28 +33,45 @@
   add(now, subject, what, [this, subject] { machine_links_.join(to_string(subject)); });
 }
 
-/// As many replicas as control can spare are cut off from all others, at times together with proxies, which
-/// then reach only these.
+/// A replica is cut off from all others, at times together with proxies, which then reach only this one.
 void SoakFaults::isolate_control(core::Instant now) {
   const auto drawn = draw_control();
   if (!drawn) {
     return;
   }
   const Subject subject{Part::kControl, *drawn};
+  const std::set<std::size_t> proxies = draw_proxies();
   std::set<MachineName> side = {control_machine(*drawn)};
-  std::string with;
-  for (std::size_t proxy = 0; proxy < fleet_.proxies(); ++proxy) {
-    if (draw(4) == 0 && !is_hit({Part::kProxy, proxy})) {
-      side.insert(proxy_machine(proxy));
-      with += " with proxy " + std::to_string(proxy);
-      rule_.on_proxy_fault(proxy, now);
-    }
+  std::string what = "isolate";
+  for (const std::size_t proxy : proxies) {
+    side.insert(proxy_machine(proxy));
+    what += " with proxy " + std::to_string(proxy);
   }
   const LinkMode mode = draw_cut();
   const bool operators_reach_both = draw(2) == 0;
   machine_links_.isolate(to_string(subject), side, mode, operators_reach_both);
-  with += operators_reach_both ? ", but not from operators," : "";
-  add_cut(now, subject, std::string("isolate (") + to_string(mode) + ")" + with);
+  what += operators_reach_both ? ", but not from operators" : "";
+  note_proxies_hit(proxies);
+  add(now, subject, what + " (" + to_string(mode) + ")", [this, subject, proxies] {
+    machine_links_.join(to_string(subject));
+    note_proxies_hit(proxies);
+  });
+}
+
+std::set<std::size_t> SoakFaults::draw_proxies() {
+  std::set<std::size_t> proxies;
+  for (std::size_t proxy = 0; proxy < fleet_.proxies(); ++proxy) {
+    if (draw(4) == 0 && !is_hit({Part::kProxy, proxy})) {
+      proxies.insert(proxy);
+    }
+  }
+  return proxies;
+}
+
+void SoakFaults::note_proxies_hit(const std::set<std::size_t>& proxies) {
+  for (const std::size_t proxy : proxies) {
+    rule_.on_proxy_fault(proxy, core::BootClock::now());
+  }
 }
 
 void SoakFaults::separate_two_controls(core::Instant now) {
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -55,7 +55,11 @@
       rule_(rule),
       traffic_(traffic),
       random_(seed),
-      begun_(core::BootClock::now()) {}
+      begun_(core::BootClock::now()) {
+  if (draw(3) == 0) {
+    spare_majority();
+  }
+}
 
 void SoakFaults::step(core::Instant now) {
   for (auto active = active_.begin(); active != active_.end();) {
@@ -122,13 +126,15 @@
   }
   active_.clear();
   restart_ended(core::Instant::max() - kSupervisorInterval);
-  rule_.on_fault_everywhere(core::BootClock::now());
+  rule_.on_fault_of_all_control(core::BootClock::now());
 }
 
 void SoakFaults::tell_rule(const Subject& subject) {
   const core::Instant now = core::BootClock::now();
-  if (subject.part == Part::kControl || subject.part == Part::kAllControl) {
-    rule_.on_control_fault(now);
+  if (subject.part == Part::kControl) {
+    rule_.on_control_fault(subject.number, now);
+  } else if (subject.part == Part::kAllControl) {
+    rule_.on_fault_of_all_control(now);
   } else if (subject.part == Part::kProxy) {
     rule_.on_proxy_fault(subject.number, now);
   }
@@ -253,11 +259,11 @@
   }
   restart_all_control();
   restart_all_proxies();
-  rule_.on_fault_everywhere(core::BootClock::now());
+  rule_.on_fault_of_all_control(core::BootClock::now());
 }
 
 void SoakFaults::kill_everything() {
-  rule_.on_fault_everywhere(core::BootClock::now());
+  rule_.on_fault_of_all_control(core::BootClock::now());
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
     fleet_.control(number).signal(SIGKILL);
   }
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -96,6 +96,8 @@
   // Control (control_faults.cpp).
   /// How many replicas may be away at once, for control to go on.
   [[nodiscard]] std::size_t spare_controls() const { return (fleet_.controls() - gone_.size() - 1) / 2; }
+  /// Only a minority of control, the same one all the time, is hit in this run: changes must go through.
+  void spare_majority();
   /// Empty when no replica may be hit now.
   std::optional<std::size_t> draw_control();
   void hit_control(core::Instant now);
@@ -122,6 +124,9 @@
   // Links between machines (machine_link_faults.cpp).
   void hit_machine_link(core::Instant now);
   void isolate_control(core::Instant now);
+  /// Some of the proxies that have no fault now.
+  std::set<std::size_t> draw_proxies();
+  void note_proxies_hit(const std::set<std::size_t>& proxies);
   void separate_two_controls(core::Instant now);
   void isolate_proxy(core::Instant now);
   void cut_operators(core::Instant now);
@@ -146,8 +151,9 @@
   core::Instant next_of_series_{};
   std::size_t left_in_series_ = 0;
   std::vector<Active> active_;
-  std::set<std::size_t> gone_;            ///< Control machines that were replaced.
-  std::map<std::size_t, bool> squeezed_;  ///< Control replicas, and whether each runs at the moment.
+  std::set<std::size_t> spared_controls_;  ///< Never hit before the loss of all power.
+  std::set<std::size_t> gone_;             ///< Control machines that were replaced.
+  std::map<std::size_t, bool> squeezed_;   ///< Control replicas, and whether each runs at the moment.
   core::Instant next_slice_{};
   std::vector<std::string> told_;
   std::vector<std::string> crashes_;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -66,6 +66,7 @@
   SoakRun(std::uint64_t seed, const FleetSize& size)
       : folder_(run_folder(seed)),
         database_links_(folder_, kDatabases, seed),
+        rule_(static_cast<std::size_t>(size.controls)),
         fleet_(database_links_.service(), size.controls, size.proxies,
                [this, seed](platform::PlatformFleet& fleet) {
                  machine_links_ = std::make_unique<MachineLinks>(fleet, kMostReplacedControls, seed);
