--- a/tests/soak/control_faults.cpp
+++ b/tests/soak/control_faults.cpp
@@ -41,9 +41,9 @@
 
 }  // namespace
 
-void SoakFaults::spare_majority() {
-  while (2 * spared_controls_.size() <= fleet_.controls()) {
-    spared_controls_.insert(draw(fleet_.controls()));
+void SoakFaults::protect_majority() {
+  while (2 * protected_controls_.size() <= fleet_.controls()) {
+    protected_controls_.insert(draw(fleet_.controls()));
   }
 }
 
@@ -54,7 +54,7 @@
       }));
   const std::size_t number = draw(fleet_.controls());
   const bool free = hit < spare_controls() && !is_hit({Part::kAllControl}) && !is_gone(number) &&
-                    !is_hit({Part::kControl, number}) && !spared_controls_.contains(number);
+                    !is_hit({Part::kControl, number}) && !protected_controls_.contains(number);
   return free ? std::optional(number) : std::nullopt;
 }
 
@@ -202,7 +202,7 @@
 }
 
 void SoakFaults::hit_disk(core::Instant now) {
-  if (draw(4) == 0 && !any_control_hit() && spared_controls_.empty()) {
+  if (draw(4) == 0 && !any_control_hit() && protected_controls_.empty()) {
     for (std::size_t number = 0; number < fleet_.controls(); ++number) {
       slow_disk(number, kAllSlowSync);
     }
@@ -224,7 +224,7 @@
 }
 
 void SoakFaults::kill_all_control(core::Instant now) {
-  if (any_control_hit() || !spared_controls_.empty()) {
+  if (any_control_hit() || !protected_controls_.empty()) {
     return;
   }
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
--- a/tests/soak/fault_links.cpp
+++ b/tests/soak/fault_links.cpp
@@ -101,9 +101,10 @@
   return "proxy-" + std::to_string(number);
 }
 
-MachineLinks::MachineLinks(platform::PlatformFleet& fleet, std::size_t spare_controls, std::uint64_t seed)
+MachineLinks::MachineLinks(platform::PlatformFleet& fleet, std::size_t additional_controls,
+                           std::uint64_t seed)
     : fleet_(fleet) {
-  const std::size_t controls = fleet.controls() + spare_controls;
+  const std::size_t controls = fleet.controls() + additional_controls;
   std::vector<std::pair<MachineName, std::filesystem::path>> callers;
   for (std::size_t number = 0; number < controls; ++number) {
     callers.emplace_back(control_machine(number), fleet.control_settings(number));
@@ -139,8 +140,8 @@
                            bool operators_reach_both) {
   std::map<std::string, LinkMode> modes;
   for (const auto& [link, ends] : ends_) {
-    const bool is_spared = operators_reach_both && ends.from == kOperatorsMachine;
-    if (!is_spared && machines.contains(ends.from) != machines.contains(ends.to)) {
+    const bool stays_whole = operators_reach_both && ends.from == kOperatorsMachine;
+    if (!stays_whole && machines.contains(ends.from) != machines.contains(ends.to)) {
       modes[link] = mode;
     }
   }
--- a/tests/soak/fault_links.hpp
+++ b/tests/soak/fault_links.hpp
@@ -76,9 +76,9 @@
 /// again when the last cut of it has ended.
 class MachineLinks {
  public:
-  /// For a fleet that has not been started: lays links between its machines, and those of `spare_controls`
-  /// that may be added.
-  MachineLinks(platform::PlatformFleet& fleet, std::size_t spare_controls, std::uint64_t seed);
+  /// For a fleet that has not been started: lays links between its machines and
+  /// `additional_controls` replicas that may be added later.
+  MachineLinks(platform::PlatformFleet& fleet, std::size_t additional_controls, std::uint64_t seed);
 
   /// Cuts these machines off from all others, but not from one another, nor from operators who reach both
   /// sides.
--- a/tests/soak/machine_link_faults.cpp
+++ b/tests/soak/machine_link_faults.cpp
@@ -52,7 +52,7 @@
   machine_links_.isolate(to_string(subject), side, mode, operators_reach_both);
   what += operators_reach_both ? ", but not from operators" : "";
   note_proxies_hit(proxies);
-  add(now, subject, what + " (" + to_string(mode) + ")", [this, subject, proxies] {
+  add(now, subject, what + " (" + to_string(mode) + "):", [this, subject, proxies] {
     machine_links_.join(to_string(subject));
     note_proxies_hit(proxies);
   });
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -57,7 +57,7 @@
       random_(seed),
       begun_(core::BootClock::now()) {
   if (draw(3) == 0) {
-    spare_majority();
+    protect_majority();
   }
 }
 
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -97,7 +97,7 @@
   /// How many replicas may be away at once, for control to go on.
   [[nodiscard]] std::size_t spare_controls() const { return (fleet_.controls() - gone_.size() - 1) / 2; }
   /// Only a minority of control, the same one all the time, is hit in this run: changes must go through.
-  void spare_majority();
+  void protect_majority();
   /// Empty when no replica may be hit now.
   std::optional<std::size_t> draw_control();
   void hit_control(core::Instant now);
@@ -151,9 +151,9 @@
   core::Instant next_of_series_{};
   std::size_t left_in_series_ = 0;
   std::vector<Active> active_;
-  std::set<std::size_t> spared_controls_;  ///< Never hit before the loss of all power.
-  std::set<std::size_t> gone_;             ///< Control machines that were replaced.
-  std::map<std::size_t, bool> squeezed_;   ///< Control replicas, and whether each runs at the moment.
+  std::set<std::size_t> protected_controls_;  ///< Never hit before the loss of all power.
+  std::set<std::size_t> gone_;                ///< Control machines that were replaced.
+  std::map<std::size_t, bool> squeezed_;      ///< Control replicas, and whether each runs at the moment.
   core::Instant next_slice_{};
   std::vector<std::string> told_;
   std::vector<std::string> crashes_;
