--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -170,7 +170,7 @@
         self.running = self.deaf = False
         self.state, self.seq, self.born = "ready", 0, 0
         self.server, self.sessions, self.busy, self.life = None, set(), 0, 0
-        self.signed = 0
+        self.signed = self.status_busy = self.status_ok = 0
         self.beat_now = asyncio.Event()
 
     @property
@@ -295,8 +295,10 @@
         if words[0] in ("HOLD", "DEMOTE", "RESUME"):
             return self.order(session, words)
         if words[0] == "STATUS" and self.busy >= self.service.slots:
+            self.status_busy += 1
             return self.error(session, "BUSY", self.id)
         if words[0] == "STATUS":
+            self.status_ok += 1
             return self.status_row() + self.ready(session)
         if session.state == "E" and words[0] != "ROLLBACK":
             return self.error(session, "BAD", "the transaction has failed")
@@ -327,7 +329,7 @@
             return self.error(session, "BUSY", self.id)
         self.busy += 1
         try:
-            await asyncio.sleep(self.service.work_s)
+            await asyncio.sleep(self.service.read_s if words[0] == "READ" else self.service.work_s)
             if life != self.life:
                 return None
             if words[0] == "READ":
@@ -380,9 +382,9 @@
 class Service:
     """A primary and its replicas: replication with SyncReplicas 1, and promotions."""
 
-    def __init__(self, stage, name, count=3, slots=2, max_conns=16, work_s=0.0045):
+    def __init__(self, stage, name, count=3, slots=2, max_conns=16, work_s=0.0045, read_s=0.022):
         self.stage, self.name = stage, name
-        self.slots, self.max_conns, self.work_s = slots, max_conns, work_s
+        self.slots, self.max_conns, self.work_s, self.read_s = slots, max_conns, work_s, read_s
         self.databases = [Database(self, f"i-{name}-{number}", port) for number, port in enumerate(free_ports(count))]
         self.acknowledged = {}
         self.promotions = []        # (when, database, its log when it began to lead)
