--- a/review/lost_commits.py
+++ b/review/lost_commits.py
@@ -43,66 +43,6 @@
             await asyncio.sleep(0.05)
 
 
-class TransactionWriters(Writers):
-    """Clients whose transactions hold up to 12 statements, with pauses between them."""
-
-    pause_s = 0.3
-
-    async def run(self, number):
-        client = None
-        while self.running:
-            if client is None or client.writer is None:
-                client = stand_ins.Client(self.stage.fronts[number % len(self.stage.fronts)],
-                                          self.service.name + "primary", f"u{number}")
-                if not await client.open():
-                    await asyncio.sleep(0.1)
-                    continue
-            await self.transaction(client, number)
-            await asyncio.sleep(0.05)
-
-    async def transaction(self, client, number):
-        self.sent += 1
-        name = f"{number:02x}{self.sent:08x}"
-        for step in range(12):
-            text = "BEGIN" if step == 0 else "COMMIT" if step == 11 else f"WRITE t{name}{step} d"
-            answer = await client.ask(f"{name}{step:x}", text)
-            if not stand_ins.succeeded(answer):
-                self.record(f"client {number}: {name}{step:x} {text}: {answer}")
-                if client.writer and answer and not answer[-1].startswith("READY I"):
-                    await client.ask(f"{name}f", "ROLLBACK")
-                await asyncio.sleep(0.1)
-                return
-            if step < 11:
-                await asyncio.sleep(self.pause_s)
-        self.acknowledged.append((time.monotonic(), name + "1"))
-        self.record(f"client {number}: {name} committed: {' | '.join(answer)}")
-
-
-class Readers:
-    """Clients that read on the bounded route, one read after the other."""
-
-    def __init__(self, stage, service):
-        self.stage, self.service = stage, service
-        self.running, self.answered, self.failed = True, 0, 0
-        self.tasks = []
-
-    def start(self, count):
-        self.tasks = [asyncio.ensure_future(self.run(number)) for number in range(count)]
-
-    async def run(self, number):
-        client = None
-        while self.running:
-            if client is None or client.writer is None:
-                client = stand_ins.Client(self.stage.fronts[number % len(self.stage.fronts)],
-                                          self.service.name + "bounded", f"r{number}")
-                if not await client.open():
-                    await asyncio.sleep(0.1)
-                    continue
-            answer = await client.ask(f"{number:x}{self.answered:010x}", f"READ t{number}")
-            self.answered += stand_ins.succeeded(answer)
-            self.failed += not stand_ins.succeeded(answer)
-
-
 async def replica_lag_deaf_crash(service, primary, deaf, record):
     """One replica receives nothing for DEAF_S; meanwhile the primary crashes, and returns with its log."""
     record(f"logs before replica_lag: {[(one.id, len(one.log)) for one in service.databases]}", True)
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -170,7 +170,7 @@
         self.running = self.deaf = False
         self.state, self.seq, self.born = "ready", 0, 0
         self.server, self.sessions, self.busy, self.life = None, set(), 0, 0
-        self.signed = self.status_busy = self.status_ok = 0
+        self.signed = 0
         self.beat_now = asyncio.Event()
 
     @property
@@ -295,10 +295,8 @@
         if words[0] in ("HOLD", "DEMOTE", "RESUME"):
             return self.order(session, words)
         if words[0] == "STATUS" and self.busy >= self.service.slots:
-            self.status_busy += 1
             return self.error(session, "BUSY", self.id)
         if words[0] == "STATUS":
-            self.status_ok += 1
             return self.status_row() + self.ready(session)
         if session.state == "E" and words[0] != "ROLLBACK":
             return self.error(session, "BAD", "the transaction has failed")
@@ -648,8 +646,13 @@
                     await asyncio.sleep(0.1)
 
 
+def end_on_signal(*_):
+    raise CannotRun("a signal came")
+
+
 def play(scenario, folder, **options):
     """Runs `scenario(stage, record, trouble)`, which returns the broken rules, and ends with the case's exit code."""
+    signal.signal(signal.SIGTERM, end_on_signal)
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     stage = Stage(record, **options)
@@ -660,8 +663,8 @@
             record(f"BROKEN: {text}", True)
         record(f"{len(broken)} breaks of rules, trouble {'on' if trouble else 'off'}", True)
         code = 1 if broken else 0
-    except (CannotRun, asyncio.TimeoutError) as error:
-        record(f"the case can't run: {error}", True)
+    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        record(f"the case can't run: {error or 'it takes too long'}", True)
     finally:
         stage.stop()
         record.close()
