--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,6 @@
 """Another writer's heartbeat names the address of a replica; later replica_lag (deaf, crash) meets the service."""
 import asyncio
+import json
 import os
 import sys
 
@@ -15,7 +16,7 @@
     body = {"Service": "inventory", "Address": database.address, "Zone": "stage", "Version": "v0", "Slots": 2,
             "State": "unknown", "ColdLeftMs": 0, "DbRole": "none", "Seq": 1}
     status, answer = await stand_ins.http_call(stage.controls[0], "POST", "/Instances.Heartbeat/agent-41",
-                                               stand_ins.json.dumps(body).encode())
+                                               json.dumps(body).encode())
     record(f"another writer's heartbeat {body}: {status} {answer.decode()}", True)
 
 
