--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -551,7 +551,8 @@
                              file_actions=[(os.POSIX_SPAWN_DUP2, log, 1), (os.POSIX_SPAWN_DUP2, log, 2)])
         os.close(log)
         self.processes[ip] = pid
-        self.record(f"started {role} at {ip}: {' '.join([described['run'].split()[0], *arguments])}")
+        shown = [os.path.basename(one) if one == path else one for one in [described["run"].split()[0], *arguments]]
+        self.record(f"started {role} at {ip}: {' '.join(shown)}")
 
     def ended_processes(self):
         """Addresses of processes that ended by themselves."""
