--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,5 @@
 set -u
 cd "$(dirname "$0")" || exit 2
 python3=$(command -v python3) || { echo "python3 is missing" >&2; exit 2; }
+"$python3" -c 'import tomllib' || { echo "Python 3.11 or later is needed" >&2; exit 2; }
 exec "$python3" -B case.py
--- a/review/lost_commits.py
+++ b/review/lost_commits.py
@@ -64,6 +64,8 @@
 def judge(service, writers, record):
     """LOST: the log of the database that is promoted is missing an acknowledged commit."""
     broken = []
+    if not writers.acknowledged or not service.promotions:
+        raise stand_ins.CannotRun("no write was acknowledged, or nothing was promoted: there is nothing to judge")
     record(f"{writers.sent} writes sent, {len(writers.acknowledged)} acknowledged, "
            f"{len(service.promotions)} promotions", True)
     for when, chosen, log in service.promotions:
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -40,12 +40,10 @@
     def __call__(self, text, show=False):
         line = f"{time.monotonic() - self.began:8.3f} {text}"
         self.file.write(line + "\n")
+        self.file.flush()
         if show:
             print(line, flush=True)
 
-    def close(self):
-        self.file.close()
-
 
 # --- Templates of the deploy file ------------------------------------------------------------------------------------
 
@@ -648,25 +646,26 @@
 
 
 def end_on_signal(*_):
-    raise CannotRun("a signal came")
+    raise KeyboardInterrupt         # Not an Exception: no task keeps it for itself.
 
 
 def play(scenario, folder, **options):
     """Runs `scenario(stage, record, trouble)`, which returns the broken rules, and ends with the case's exit code."""
     signal.signal(signal.SIGTERM, end_on_signal)
-    record = Record(os.path.join(folder, "record.txt"))
+    code, stage, record = 2, None, print
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    stage = Stage(record, **options)
-    code = 2
     try:
+        record = Record(os.path.join(folder, "record.txt"))
+        stage = Stage(record, **options)
         broken = asyncio.run(asyncio.wait_for(scenario(stage, record, trouble), LIMIT_S))
+        record(f"processes under review that ended by themselves: {stage.ended_processes() or 'none'}", True)
         for text in broken:
             record(f"BROKEN: {text}", True)
         record(f"{len(broken)} breaks of rules, trouble {'on' if trouble else 'off'}", True)
         code = 1 if broken else 0
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        record(f"the case can't run: {error or 'it takes too long'}", True)
+    except (Exception, KeyboardInterrupt) as error:     # Whatever it is, it shows nothing about the rule.
+        record(f"the case can't run: {type(error).__name__} {error}", True)
     finally:
-        stage.stop()
-        record.close()
+        if stage:
+            stage.stop()
     sys.exit(code)
