--- a/src/configuration/command.hpp
+++ b/src/configuration/command.hpp
@@ -143,7 +143,7 @@
 };
 
 /// A database of a self-registered group tells of itself. A database that was known at its endpoint is gone:
-/// this one has taken over its log. Draining is never taken back.
+/// this one has taken over its log. Within a life, draining is never taken back.
 struct RegisterDatabase {
   core::GroupName group;
   protocol::Database database;
@@ -154,15 +154,25 @@
 /// A self-registered database ends: it takes no more work.
 struct DepartDatabase {
   core::DatabaseId database;
+  std::uint64_t born = 0;  ///< Life that ends; 0: whichever is known.
 
-  MSGPACK_DEFINE(database);
+  MSGPACK_DEFINE(database, born);
 };
 
 /// Forgets a departed database whose log is no longer needed.
 struct RemoveDatabase {
   core::DatabaseId database;
+  std::uint64_t born = 0;  ///< Life that has departed; 0: whichever is known.
 
-  MSGPACK_DEFINE(database);
+  MSGPACK_DEFINE(database, born);
+};
+
+/// The log of a database that has started again has been seen to hold all acknowledged writes.
+struct ProveDatabaseLog {
+  core::DatabaseId database;
+  std::uint64_t born = 0;  ///< Life whose log was seen.
+
+  MSGPACK_DEFINE(database, born);
 };
 
 /// Takes over the primary that a group has had since before control knew it.
@@ -175,10 +185,11 @@
 };
 
 /// Every operation. The order is part of the format on disk: append only.
-using Operation = std::variant<PutZone, PutPolicy, PutGroup, AdmitDaemon, SetDaemonState, RemoveDaemon,
-                               SetDatabaseDraining, BeginPrimaryChange, CompletePrimaryChange, RecordControl,
-                               SetControlLeaving, RemoveControl, ChangeDaemons, PutRouteTable,
-                               RegisterDatabase, DepartDatabase, RemoveDatabase, AdoptPrimary>;
+using Operation =
+    std::variant<PutZone, PutPolicy, PutGroup, AdmitDaemon, SetDaemonState, RemoveDaemon, SetDatabaseDraining,
+                 BeginPrimaryChange, CompletePrimaryChange, RecordControl, SetControlLeaving, RemoveControl,
+                 ChangeDaemons, PutRouteTable, RegisterDatabase, DepartDatabase, RemoveDatabase, AdoptPrimary,
+                 ProveDatabaseLog>;
 
 /// One entry of the log.
 struct Command {
--- a/src/configuration/plan.cpp
+++ b/src/configuration/plan.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "configuration/database_notice_plan.hpp"
 #include "configuration/plan_steps.hpp"
 #include "configuration/registry_plan.hpp"
 #include "configuration/validation.hpp"
--- a/src/configuration/plan.hpp
+++ b/src/configuration/plan.hpp
@@ -1,6 +1,8 @@
 // Works out what one operation does to a configuration, without doing it. No I/O; same input, same plan.
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -14,6 +16,9 @@
 /// change.
 using Members = std::set<core::DatabaseId>;
 
+/// Start of the last known life of databases that have ended, in milliseconds of Unix time.
+using LastBirths = std::map<core::DatabaseId, std::uint64_t>;
+
 /// Outcome of an operation. Neither error nor change: the configuration already is as asked.
 struct Plan {
   std::optional<core::Error> error;
@@ -29,6 +34,8 @@
   Members promoted_members;
   /// Databases that have registered by themselves, ended, and been removed; null: none.
   const Members* removed_databases = nullptr;
+  /// Of removed databases that said when they started; null: none.
+  const LastBirths* removed_births = nullptr;
 };
 
 /// Plans any operation.
--- a/src/configuration/registry_plan.cpp
+++ b/src/configuration/registry_plan.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "configuration/plan_steps.hpp"
+#include "configuration/self_registered_groups.hpp"
 #include "configuration/validation.hpp"
 
 namespace pipitpond::configuration {
@@ -19,7 +20,6 @@
 using protocol::Route;
 using protocol::RoutedGroup;
 using protocol::RouteTable;
-using protocol::TermStart;
 
 core::Error invalid(std::string message, std::string remedy) {
   return core::Error{core::ErrorKind::kInvalidArgument, std::move(message), std::move(remedy), 0};
@@ -89,18 +89,6 @@
   return table.tenants ? check_tenants(*table.tenants) : std::nullopt;
 }
 
-/// Connections that proxies may share, of those that the database takes.
-std::uint32_t proxies_share(std::uint32_t limit) {
-  return limit > 2 * kConnectionsForControl ? limit - kConnectionsForControl : limit;
-}
-
-void set_connection_limit(Database& database, std::uint32_t group_limit) {
-  database.connection_limit = proxies_share(group_limit);
-  const std::uint32_t fewest = std::min(database.connection_limit, kFewestOwners);
-  const std::uint32_t served = database.connection_limit / kConnectionsPerOwner;
-  database.max_owners = std::clamp(served, fewest, std::max(fewest, kMostOwners));
-}
-
 /// The group as the table describes it; nothing when it is so already.
 std::optional<Group> revised_group(const Configuration& configuration, const RoutedGroup& routed) {
   const Group* current = find(configuration.groups, routed.name);
@@ -121,62 +109,6 @@
   return group;
 }
 
-/// A group that operators declare takes no databases or limits from elsewhere.
-std::optional<Plan> declared_by_operators(const Configuration& configuration, const core::GroupName& name) {
-  const Group* group = find(configuration.groups, name);
-  if (group == nullptr || group->self_registered || group->databases.empty()) {
-    return std::nullopt;
-  }
-  return refused(core::ErrorKind::kConflict, "Operators declare the databases of group " + name.value() + ".",
-                 "Use another name for the group whose databases register by themselves.", group->revision);
-}
-
-Group* changed_group(const Configuration& configuration, Change& change, const core::GroupName& name) {
-  const auto found = std::find_if(change.groups.begin(), change.groups.end(),
-                                  [&](const Group& group) { return group.name == name; });
-  if (found != change.groups.end()) {
-    return &*found;
-  }
-  const Group* current = find(configuration.groups, name);
-  Group group = current == nullptr ? Group{} : *current;
-  group.name = name;
-  group.self_registered = true;
-  change.groups.push_back(std::move(group));
-  return &change.groups.back();
-}
-
-auto find_in(std::vector<Database>& databases, const core::DatabaseId& id) {
-  return std::find_if(databases.begin(), databases.end(),
-                      [&id](const Database& database) { return database.id == id; });
-}
-
-/// The databases that had this one's endpoint: gone, for an address is used by one at a time.
-void drop_predecessors(const Configuration& configuration, Change& change, const Database& database) {
-  for (const auto& [name, group] : configuration.groups) {
-    const bool clashes =
-        std::any_of(group.databases.begin(), group.databases.end(), [&](const Database& other) {
-          return other.id != database.id && other.endpoint == database.endpoint;
-        });
-    if (clashes && group.self_registered) {
-      std::erase_if(changed_group(configuration, change, name)->databases, [&](const Database& other) {
-        return other.id != database.id && other.endpoint == database.endpoint;
-      });
-    }
-  }
-}
-
-/// The group that has the database, or null.
-const Group* group_of(const Configuration& configuration, const core::DatabaseId& id) {
-  for (const auto& [name, group] : configuration.groups) {
-    for (const Database& database : group.databases) {
-      if (database.id == id) {
-        return &group;
-      }
-    }
-  }
-  return nullptr;
-}
-
 }  // namespace
 
 Plan plan_one(const PlanContext& context, const PutRouteTable& put) {
@@ -203,89 +135,4 @@
   return Plan{std::nullopt, context.configuration.revision, std::move(change)};
 }
 
-Plan plan_one(const PlanContext& context, const RegisterDatabase& registration) {
-  const Database& told = registration.database;
-  if (auto error = check_name("database", told.id.value())) {
-    return Plan{error, 0, std::nullopt};
-  }
-  if (auto error = check_name("group", registration.group.value())) {
-    return Plan{error, 0, std::nullopt};
-  }
-  if (told.endpoint.port == 0) {
-    return refused(core::ErrorKind::kInvalidArgument, "Database " + told.id.value() + " has no endpoint.",
-                   "Give its endpoint as address:port.");
-  }
-  if (context.removed_databases != nullptr && context.removed_databases->contains(told.id)) {
-    return unchanged(context.configuration.revision);  // A late message of a database that has ended.
-  }
-  if (auto refusal = declared_by_operators(context.configuration, registration.group)) {
-    return *refusal;
-  }
-  Change change = next_change(context.configuration);
-  Group& group = *changed_group(context.configuration, change, registration.group);
-  const auto known = find_in(group.databases, told.id);
-  Database next = told;
-  next.departed = false;
-  set_connection_limit(next, group.connection_limit);
-  if (known != group.databases.end()) {
-    next.draining = told.draining || known->draining;
-    next.departed = known->departed;
-    const bool same = next.endpoint == known->endpoint && next.zone == known->zone &&
-                      next.slots == known->slots && next.draining == known->draining &&
-                      next.connection_limit == known->connection_limit;
-    if (same) {
-      return unchanged(context.configuration.revision);
-    }
-    *known = next;
-  } else {
-    group.databases.push_back(next);
-  }
-  drop_predecessors(context.configuration, change, next);
-  return Plan{std::nullopt, context.configuration.revision, std::move(change)};
-}
-
-Plan plan_one(const PlanContext& context, const DepartDatabase& departure) {
-  const Group* current = group_of(context.configuration, departure.database);
-  if (current == nullptr || !current->self_registered) {
-    return unchanged(context.configuration.revision);
-  }
-  Change change = next_change(context.configuration);
-  Group& group = *changed_group(context.configuration, change, current->name);
-  Database& database = *find_in(group.databases, departure.database);
-  if (database.departed) {
-    return unchanged(context.configuration.revision);
-  }
-  database.departed = true;
-  database.draining = true;
-  return Plan{std::nullopt, context.configuration.revision, std::move(change)};
-}
-
-Plan plan_one(const PlanContext& context, const RemoveDatabase& removal) {
-  const Group* current = group_of(context.configuration, removal.database);
-  if (current == nullptr || !current->self_registered) {
-    return unchanged(context.configuration.revision);
-  }
-  Change change = next_change(context.configuration);
-  Group& group = *changed_group(context.configuration, change, current->name);
-  group.databases.erase(find_in(group.databases, removal.database));
-  return Plan{std::nullopt, context.configuration.revision, std::move(change)};
-}
-
-Plan plan_one(const PlanContext& context, const AdoptPrimary& adoption) {
-  const Group* current = find(context.configuration.groups, adoption.group);
-  const Group* holder = group_of(context.configuration, adoption.primary);
-  if (current == nullptr || holder != current || !current->self_registered || adoption.term == 0) {
-    return refused(core::ErrorKind::kInvalidArgument,
-                   "Database " + adoption.primary.value() + " can't be adopted as a primary.",
-                   "Adopt a registered database of the group, with its term.");
-  }
-  if (!current->terms.empty()) {
-    return unchanged(context.configuration.revision);
-  }
-  Change change = next_change(context.configuration);
-  Group& group = *changed_group(context.configuration, change, current->name);
-  group.terms.push_back(TermStart{adoption.term, adoption.primary, {}});
-  return Plan{std::nullopt, context.configuration.revision, std::move(change)};
-}
-
 }  // namespace pipitpond::configuration
--- a/src/configuration/registry_plan.hpp
+++ b/src/configuration/registry_plan.hpp
@@ -1,4 +1,4 @@
-// Plans of route tables and of databases that register and leave by themselves.
+// Plans of route tables, and what they give to the groups that they name.
 #pragma once
 
 #include "configuration/plan.hpp"
@@ -6,10 +6,6 @@
 namespace pipitpond::configuration {
 
 Plan plan_one(const PlanContext& context, const PutRouteTable& put);
-Plan plan_one(const PlanContext& context, const RegisterDatabase& registration);
-Plan plan_one(const PlanContext& context, const DepartDatabase& departure);
-Plan plan_one(const PlanContext& context, const RemoveDatabase& removal);
-Plan plan_one(const PlanContext& context, const AdoptPrimary& adoption);
 
 /// Connections that a self-registered database keeps free for control's own calls: those of the leader and of
 /// one that has just been replaced.
--- a/src/configuration/state_machine.cpp
+++ b/src/configuration/state_machine.cpp
@@ -61,7 +61,8 @@
 
 CommandResult StateMachine::execute(const Command& command) {
   const PlanContext context{state_.configuration, command.expected_revision,
-                            promoted_members_for(command.operation), &state_.removed_databases};
+                            promoted_members_for(command.operation), &state_.removed_databases,
+                            &state_.removed_births};
   const Plan planned = plan(context, command.operation);
   CommandResult result;
   result.error = planned.error;
@@ -82,6 +83,9 @@
 void StateMachine::accept(const Command& command, const Change& change) {
   if (const auto* registration = std::get_if<RegisterDatabase>(&command.operation)) {
     remember_predecessors(registration->database);
+    forget_removal(registration->database.id);
+  } else if (const auto* removal = std::get_if<RemoveDatabase>(&command.operation)) {
+    remember_removal(*protocol::find_database(state_.configuration, removal->database));
   }
   protocol::apply(state_.configuration, change);
   keep_change(change);
@@ -89,8 +93,6 @@
     remember_members(*complete);
   } else if (const auto* put = std::get_if<PutRouteTable>(&command.operation)) {
     state_.route_document = put->document;
-  } else if (const auto* removal = std::get_if<RemoveDatabase>(&command.operation)) {
-    remember_removal(removal->database);
   }
 }
 
@@ -109,20 +111,29 @@
     for (const protocol::Database& database : group.databases) {
       const bool replaced = database.endpoint == successor.endpoint && database.id != successor.id;
       if (replaced && group.self_registered) {
-        remember_removal(database.id);
+        remember_removal(database);
       }
     }
   }
 }
 
-void StateMachine::remember_removal(const core::DatabaseId& database) {
-  if (!state_.removed_databases.insert(database).second) {
+void StateMachine::remember_removal(const protocol::Database& database) {
+  if (!state_.removed_databases.insert(database.id).second) {
     return;
   }
-  state_.removal_order.push_back(database);
+  if (database.born > 0) {
+    state_.removed_births[database.id] = database.born;
+  }
+  state_.removal_order.push_back(database.id);
   while (state_.removal_order.size() > limits_.removed_databases) {
-    state_.removed_databases.erase(state_.removal_order.front());
-    state_.removal_order.pop_front();
+    forget_removal(core::DatabaseId(state_.removal_order.front()));
+  }
+}
+
+void StateMachine::forget_removal(const core::DatabaseId& database) {
+  if (state_.removed_databases.erase(database) > 0) {
+    state_.removed_births.erase(database);
+    std::erase(state_.removal_order, database);
   }
 }
 
--- a/src/configuration/state_machine.hpp
+++ b/src/configuration/state_machine.hpp
@@ -85,9 +85,10 @@
     std::string route_document;  ///< The route table in force as its author wrote it.
     Members removed_databases;
     std::deque<core::DatabaseId> removal_order;  ///< Oldest first.
+    LastBirths removed_births;                   ///< Of removed databases that said when they started.
 
     MSGPACK_DEFINE(applied_index, configuration, changes, change_bytes, answers, answer_order,
-                   promoted_members, route_document, removed_databases, removal_order);
+                   promoted_members, route_document, removed_databases, removal_order, removed_births);
   };
 
   [[nodiscard]] bool costs_more_than_a_snapshot(protocol::Revision revision) const;
@@ -96,7 +97,8 @@
   void remember_members(const CompletePrimaryChange& complete);
   /// Before a registration is applied: the databases that it replaces have ended.
   void remember_predecessors(const protocol::Database& successor);
-  void remember_removal(const core::DatabaseId& database);
+  void remember_removal(const protocol::Database& database);
+  void forget_removal(const core::DatabaseId& database);
   void keep_change(const protocol::Change& change);
   void keep_answer(const core::RequestKey& key, std::uint64_t fingerprint, const CommandResult& result);
   [[nodiscard]] Members promoted_members_for(const Operation& operation) const;
--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -151,7 +151,7 @@
       continue;
     }
     const protocol::Database* database =
-        ownership::find_database(replica_.machine().configuration(), report.database);
+        protocol::find_database(replica_.machine().configuration(), report.database);
     if (database != nullptr && !database->draining) {
       propose("database " + report.database.value(),
               configuration::SetDatabaseDraining{report.database, true});
@@ -277,7 +277,9 @@
     log->info("group={} term={} event=adopt_primary primary={}", adopt->group.value(), adopt->term,
               adopt->primary.value());
   } else if (const auto* remove = std::get_if<failover::ProposeRemoveDatabase>(&effect)) {
-    log->info("event=remove_database database={}", remove->database.value());
+    log->info("event=remove_database database={} born={}", remove->database.value(), remove->born);
+  } else if (const auto* prove = std::get_if<failover::ProposeProveDatabaseLog>(&effect)) {
+    log->info("event=log_proven database={} born={}", prove->database.value(), prove->born);
   }
 }
 
@@ -300,7 +302,11 @@
     propose("adopt " + adopt->group.value(),
             configuration::AdoptPrimary{adopt->group, adopt->term, adopt->primary});
   } else if (const auto* remove = std::get_if<failover::ProposeRemoveDatabase>(&effect)) {
-    propose("database " + remove->database.value(), configuration::RemoveDatabase{remove->database});
+    propose("database " + remove->database.value(),
+            configuration::RemoveDatabase{remove->database, remove->born});
+  } else if (const auto* prove = std::get_if<failover::ProposeProveDatabaseLog>(&effect)) {
+    propose("log of " + prove->database.value(),
+            configuration::ProveDatabaseLog{prove->database, prove->born});
   }
 }
 
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -99,6 +99,20 @@
                                    answer.revision, answer.changed);
 }
 
+/// Says what a database's notice has changed.
+void log_notice(const configuration::Operation& operation, const configuration::CommandResult& answer) {
+  const auto log = logging::logger("control");
+  if (const auto* registration = std::get_if<configuration::RegisterDatabase>(&operation)) {
+    const protocol::Database& database = registration->database;
+    log->info("event=database_registered group={} database={} endpoint={} born={} draining={} revision={}",
+              registration->group.value(), database.id.value(), core::to_string(database.endpoint),
+              database.born, database.draining, answer.revision);
+  } else if (const auto* departure = std::get_if<configuration::DepartDatabase>(&operation)) {
+    log->info("event=database_departs database={} born={} revision={}", departure->database.value(),
+              departure->born, answer.revision);
+  }
+}
+
 /// Path prefix of notices that databases send: POST /v1/databases/ID/heartbeat and .../ID/leave.
 const std::string kDatabasesPath = "/v1/databases/";
 
@@ -327,6 +341,7 @@
   if (!command) {
     co_return error_reply(command.error());
   }
+  const configuration::Operation notice = command.value().operation;
   const auto result = co_await replica_.propose(std::move(command.value()), timeouts_.proposal);
   if (!result) {
     co_return error_reply(result.error());
@@ -334,6 +349,9 @@
   if (result.value().error) {
     co_return error_reply(*result.value().error);
   }
+  if (result.value().changed) {
+    log_notice(notice, result.value());
+  }
   co_return database_reply();
 }
 
--- a/src/control/platform_watch.cpp
+++ b/src/control/platform_watch.cpp
@@ -59,7 +59,7 @@
   }
   if (machine.kind == "database") {
     const core::DatabaseId id(machine.name);
-    const protocol::Database* database = ownership::find_database(configuration, id);
+    const protocol::Database* database = protocol::find_database(configuration, id);
     if (database != nullptr && database->draining != machine.leaving) {
       return configuration::SetDatabaseDraining{id, machine.leaving};
     }
--- a/src/control/route_json.cpp
+++ b/src/control/route_json.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t kMaxMillis = std::uint64_t{24} * 3600 * 1000;
 constexpr std::uint64_t kMaxCount = 1'000'000;
+constexpr std::uint64_t kMaxUnixMillis = std::numeric_limits<std::int64_t>::max();
 constexpr std::size_t kMaxTenantKeyBytes = 512;
 
 std::uint32_t millis(JsonFields& fields, const std::string& name) {
@@ -117,6 +118,11 @@
   return tenants;
 }
 
+/// Milliseconds of Unix time; 0: not told.
+std::uint64_t born_or_zero(JsonFields& fields) {
+  return fields.has("born") ? fields.number("born", kMaxUnixMillis) : 0;
+}
+
 configuration::Operation read_heartbeat(const core::DatabaseId& id, const json& value) {
   JsonFields fields(value, "body");
   configuration::RegisterDatabase registration;
@@ -126,10 +132,20 @@
   registration.database.zone = core::ZoneName(fields.text_or("zone", ""));
   registration.database.slots = count_or_zero(fields, "slots");
   registration.database.draining = fields.boolean_or("draining", false);
+  registration.database.born = born_or_zero(fields);
   fields.reject_unknown_fields();
   return registration;
 }
 
+configuration::Operation read_leave(const core::DatabaseId& id, const json& value) {
+  JsonFields fields(value, "body");
+  configuration::DepartDatabase departure;
+  departure.database = id;
+  departure.born = born_or_zero(fields);
+  fields.reject_unknown_fields();
+  return departure;
+}
+
 }  // namespace
 
 core::Result<configuration::PutRouteTable> parse_put_routes(const std::string& body) {
@@ -155,16 +171,16 @@
   const core::DatabaseId id(id_and_notice.substr(0, slash));
   const std::string notice = slash == std::string::npos ? "" : id_and_notice.substr(slash + 1);
   configuration::Command command;
-  if (notice == "leave") {
-    command.operation = configuration::DepartDatabase{id};
+  if (notice == "leave" && body.empty()) {
+    command.operation = configuration::DepartDatabase{id, 0};
     return command;
   }
-  if (notice != "heartbeat") {
+  if (notice != "heartbeat" && notice != "leave") {
     return core::fail(core::ErrorKind::kNotFound, "There is no database notice of this kind.",
                       "Send POST /v1/databases/ID/heartbeat or POST /v1/databases/ID/leave.");
   }
   return parse_fields(body, [&](const json& value) {
-    command.operation = read_heartbeat(id, value);
+    command.operation = notice == "leave" ? read_leave(id, value) : read_heartbeat(id, value);
     return command;
   });
 }
--- a/src/control/status_json.cpp
+++ b/src/control/status_json.cpp
@@ -36,6 +36,9 @@
                          {"zone", database.zone},
                          {"endpoint", database.endpoint},
                          {"draining", database.draining},
+                         {"departed", database.departed},
+                         {"born", database.born},
+                         {"log_unproven", database.log_unproven},
                          {"primary", primary && primary->primary == database.id},
                          {"owners", owners.owners(database.id)}});
   }
--- a/src/failover/departed_database_removal.cpp
+++ b/src/failover/departed_database_removal.cpp
@@ -13,7 +13,9 @@
                                    const core::DatabaseId& primary, const MemberProbes& probes,
                                    std::vector<Effect>& effects) {
   const database::StatusAnswer* status = probes.status(primary);
-  if (status == nullptr || !probes.reachable(now, primary)) {
+  const protocol::Database* leading = protocol::find_database(group, primary);
+  const bool log_known = leading != nullptr && !leading->log_unproven;
+  if (status == nullptr || !log_known || !probes.reachable(now, primary)) {
     return;
   }
   for (const protocol::Database& departed : group.databases) {
@@ -30,7 +32,7 @@
                  other_status != nullptr && other_status->received >= primary_position;
         });
     if (caught_up) {
-      effects.emplace_back(ProposeRemoveDatabase{departed.id});
+      effects.emplace_back(ProposeRemoveDatabase{departed.id, departed.born});
     }
   }
 }
--- a/src/failover/effects.hpp
+++ b/src/failover/effects.hpp
@@ -2,6 +2,7 @@
 // coordinator requests it again until it gets an answer, and every effect is idempotent.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <variant>
 #include <vector>
@@ -67,12 +68,21 @@
   core::DatabaseId primary;
 };
 
-/// Proposes a replicated change: remove a departed database from its group.
+/// Proposes a replicated change: remove a departed database from its group. No effect on another life of it.
 struct ProposeRemoveDatabase {
   core::DatabaseId database;
+  std::uint64_t born = 0;
+};
+
+/// Proposes a replicated change: a database that has started again holds all acknowledged writes. No effect
+/// on another life of it.
+struct ProposeProveDatabaseLog {
+  core::DatabaseId database;
+  std::uint64_t born = 0;
 };
 
 using Effect = std::variant<ProbeDatabase, FenceDatabase, PromoteDatabase, ProposeBeginPrimaryChange,
-                            ProposeCompletePrimaryChange, ProposeAdoptPrimary, ProposeRemoveDatabase>;
+                            ProposeCompletePrimaryChange, ProposeAdoptPrimary, ProposeRemoveDatabase,
+                            ProposeProveDatabaseLog>;
 
 }  // namespace pipitpond::failover
--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -11,6 +11,7 @@
 void GroupCoordinator::reset() {
   probes_.reset();
   departed_removal_.reset();
+  returned_logs_.reset();
   tally_.clear();
   proposed_term_ = 0;
   earliest_planned_change_ = {};
@@ -31,14 +32,17 @@
 void GroupCoordinator::on_configuration(core::Instant now, const protocol::Group& group,
                                         std::vector<core::DaemonId> owners, protocol::Revision revision) {
   const core::Term term_before = last_term();
+  const std::set<core::DatabaseId> returned = started_again(group);
   group_ = group;
   owners_ = std::move(owners);
-  probes_.set_members(group_);
+  probes_.set_members(now, group_);
+  on_started_again(now, returned);
   if (has_primary()) {
     if (phase_ != Phase::kSteady && last_term() >= proposed_term_) {
       enter_steady();
       probes_.reset();  // Probe answers of the new primary date from before its promotion.
       departed_removal_.reset();
+      returned_logs_.reset();
     }
     return;
   }
@@ -89,6 +93,7 @@
         begin(now, true);
       } else if (has_primary()) {
         departed_removal_.tick(now, group_, primary(), probes_, effects_);
+        returned_logs_.tick(now, group_, primary(), probes_, effects_);
       }
       break;
     case Phase::kBeginning:
@@ -114,8 +119,14 @@
   }
 }
 
-std::size_t GroupCoordinator::fences_needed() const {
-  return failover::fences_needed(group_.databases.size(), group_.sync_replicas);
+bool GroupCoordinator::can_fence_enough(core::Instant now, const core::DatabaseId& excluded) const {
+  std::vector<FencedMember> reachable;
+  for (const protocol::Database& database : group_.databases) {
+    if (database.id != excluded && probes_.reachable(now, database.id)) {
+      reachable.push_back(FencedMember{database.id, {}, false, false, database.log_unproven});
+    }
+  }
+  return enough_fenced(reachable, group_.databases.size(), group_.sync_replicas);
 }
 
 core::Duration GroupCoordinator::promote_timeout() const {
@@ -128,136 +139,27 @@
   return is_semi_synchronous() ? core::Duration::zero() : kPlannedChangeNotice;
 }
 
-// --- First primary of a self-registered group --------------------------------------------------------------
-
-bool GroupCoordinator::never_had_a_primary() const {
-  return group_.self_registered && group_.terms.empty();
-}
+// --- Databases that start again during a change ------------------------------------------------------------
 
-void GroupCoordinator::adopt_primary(core::Instant now) {
-  for (const protocol::Database& database : group_.databases) {
-    const database::StatusAnswer* status = probes_.status(database.id);
-    const bool is_primary =
-        status != nullptr && status->role == database::Role::kPrimary && probes_.reachable(now, database.id);
-    if (is_primary) {
-      effects_.emplace_back(ProposeAdoptPrimary{group_.name, status->term, database.id});
-      return;
+std::set<core::DatabaseId> GroupCoordinator::started_again(const protocol::Group& next) const {
+  std::set<core::DatabaseId> returned;
+  for (const protocol::Database& database : next.databases) {
+    const protocol::Database* before = member(database.id);
+    if (before != nullptr && before->born > 0 && before->born != database.born) {
+      returned.insert(database.id);
     }
   }
+  return returned;
 }
 
-// --- Failure detection -------------------------------------------------------------------------------------
-
-bool GroupCoordinator::should_probe() const {
-  const bool draining = has_primary() && member(primary()) != nullptr && member(primary())->draining;
-  return !has_primary() || phase_ != Phase::kSteady || !tally_.empty() || owners_.size() < 2 || draining ||
-         DepartedDatabaseRemoval::has_departed_database(group_);
-}
-
-bool GroupCoordinator::change_is_due(core::Instant now, const LastHeartbeats& last_heartbeats) const {
-  // A change that can't fence enough databases would leave the group without a primary for longer.
-  if (probes_.count_reachable(now) < fences_needed()) {
-    return false;
-  }
-  if (!has_primary()) {
-    return true;
-  }
-  if (member(primary()) == nullptr) {
-    return true;  // An operator has removed the primary from the group.
-  }
-  const SuspicionCounts counts = tally_.count(now, owners_, last_heartbeats, primary(), last_term());
-  if (counts.majority_lost_primary()) {
-    return true;
+void GroupCoordinator::on_started_again(core::Instant now, const std::set<core::DatabaseId>& databases) {
+  for (const core::DatabaseId& database : databases) {
+    fences_.erase(database);  // A new life has forgotten the fence.
   }
-  // In a semi-synchronous group, one failed probe by the leader confirms the suspicion of a majority of
-  // owners.
-  const bool leader_probe_failed = is_semi_synchronous() && probes_.last_probe_failed(primary());
-  const bool leader_agrees = leader_lost_primary(now) || stall_confirmed(now) || leader_probe_failed;
-  if (counts.majority_suspects() || counts.heard_majority_suspects()) {
-    return leader_agrees;
-  }
-  // Partial partition: some callers can't write, and the leader can't reach the primary either. A new primary
-  // serves all callers.
-  const bool partially_partitioned =
-      is_semi_synchronous() && counts.quarter_lost_primary() && leader_lost_primary(now);
-  // Only owners with writes in progress notice a stall, so one report suffices when the leader confirms it.
-  const bool acks_missing = is_semi_synchronous() && counts.stalled > 0 && replica_acks_missing(now);
-  return partially_partitioned || acks_missing ||
-         (counts.owners == 0 && (leader_lost_primary(now) || stall_confirmed(now)));
-}
-
-bool GroupCoordinator::leader_lost_primary(core::Instant now) const {
-  if (probes_.suspected_unreachable(primary())) {
-    return true;
-  }
-  const database::StatusAnswer* status = probes_.status(primary());
-  // A semi-synchronous group counts its own terms, which may be behind those of the configuration.
-  const bool is_current_term = is_semi_synchronous() || (status != nullptr && status->term >= last_term());
-  return status != nullptr && probes_.reachable(now, primary()) && is_current_term &&
-         status->role != database::Role::kPrimary;
-}
-
-bool GroupCoordinator::stall_confirmed(core::Instant now) const {
-  const database::StatusAnswer* status = probes_.status(primary());
-  if (status == nullptr || !probes_.reachable(now, primary())) {
-    return false;
-  }
-  if (is_semi_synchronous()) {
-    return replica_acks_missing(now);
-  }
-  const bool stalled = status->replication_stalled_ms >= core::to_millis(protocol::kReplicationStallLimit);
-  // Without a majority of other reachable databases no replica can take over. While replicas advance,
-  // replication is slow but not stalled.
-  const bool others_can_serve =
-      probes_.count_reachable(now, primary()) >= majority_of(group_.databases.size());
-  return stalled && others_can_serve && !probes_.replicas_advancing(now, primary());
-}
-
-/// True when no replica holds the primary's last log entry and none advances although enough replicas are
-/// reachable: writes on the primary wait for replica acknowledgements.
-bool GroupCoordinator::replica_acks_missing(core::Instant now) const {
-  const database::StatusAnswer* status = probes_.status(primary());
-  if (status == nullptr || !probes_.reachable(now, primary())) {
-    return false;
-  }
-  const bool all_behind =
-      std::all_of(group_.databases.begin(), group_.databases.end(), [&](const protocol::Database& other) {
-        const database::StatusAnswer* other_status = probes_.status(other.id);
-        return other.id == primary() || other_status == nullptr || other_status->received < status->received;
-      });
-  return all_behind && probes_.count_reachable(now, primary()) >= fences_needed() &&
-         !probes_.replicas_advancing(now, primary());
-}
-
-bool GroupCoordinator::primary_is_leaving(const SuspicionCounts& counts) const {
-  const protocol::Database* configured = member(primary());
-  const database::StatusAnswer* status = probes_.status(primary());
-  return (configured != nullptr && configured->draining) || counts.leaving ||
-         (status != nullptr && status->leaving);
-}
-
-bool GroupCoordinator::planned_change_is_due(core::Instant now, const SuspicionCounts& counts) {
-  if (!has_primary() || !primary_is_leaving(counts)) {
-    leaving_since_.reset();
-    return false;
-  }
-  if (!leaving_since_) {
-    leaving_since_ = now;
-  }
-  if (now < earliest_planned_change_ || now - *leaving_since_ < planned_change_notice()) {
-    return false;
-  }
-  const database::StatusAnswer* primary_status = probes_.status(primary());
-  if (primary_status == nullptr || !probes_.reachable(now, primary()) ||
-      probes_.count_reachable(now) < fences_needed()) {
-    return false;
+  const bool promotion_ordered = phase_ == Phase::kPromoting || phase_ == Phase::kCompleting;
+  if (promotion_ordered && databases.contains(candidate_)) {
+    abandon_candidate(now);  // It was chosen for a log that it may have lost.
   }
-  return std::any_of(group_.databases.begin(), group_.databases.end(), [&](const protocol::Database& other) {
-    const database::StatusAnswer* status = probes_.status(other.id);
-    return other.id != primary() && !other.draining && !other.departed && status != nullptr &&
-           !status->leaving && probes_.reachable(now, other.id) &&
-           status->received.index + kPlannedChangeMaxLagEntries >= primary_status->received.index;
-  });
 }
 
 // --- Begin a term ------------------------------------------------------------------------------------------
@@ -368,9 +270,10 @@
     fenced_member.received = fence->second.answer->received;
     fenced_member.leaving = database.draining || fence->second.answer->leaving;
     fenced_member.avoided = database.id == replaced_primary_ || failed_candidates_.contains(database.id);
+    fenced_member.log_unproven = database.log_unproven;
     fenced.push_back(fenced_member);
   }
-  if (fenced.size() < fences_needed()) {
+  if (!enough_fenced(fenced, group_.databases.size(), group_.sync_replicas)) {
     return;
   }
   if (!fence_quorum_since_.has_value()) {
@@ -482,9 +385,7 @@
 }
 
 const protocol::Database* GroupCoordinator::member(const core::DatabaseId& database) const {
-  const auto found = std::find_if(group_.databases.begin(), group_.databases.end(),
-                                  [&](const protocol::Database& other) { return other.id == database; });
-  return found == group_.databases.end() ? nullptr : &*found;
+  return protocol::find_database(group_, database);
 }
 
 }  // namespace pipitpond::failover
--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -16,6 +16,7 @@
 #include "failover/departed_database_removal.hpp"
 #include "failover/effects.hpp"
 #include "failover/member_probes.hpp"
+#include "failover/returned_log_check.hpp"
 #include "failover/suspicion_tally.hpp"
 #include "protocol/configuration.hpp"
 
@@ -59,7 +60,8 @@
   [[nodiscard]] core::DatabaseId primary() const;
   [[nodiscard]] const protocol::Database* member(const core::DatabaseId& database) const;
 
-  [[nodiscard]] std::size_t fences_needed() const;
+  /// Whether enough members answer now for a change to succeed. `excluded`: a member that is not counted.
+  [[nodiscard]] bool can_fence_enough(core::Instant now, const core::DatabaseId& excluded = {}) const;
   [[nodiscard]] bool is_semi_synchronous() const { return group_.sync_replicas > 0; }
   [[nodiscard]] core::Duration promote_timeout() const;
   [[nodiscard]] core::Duration planned_change_notice() const;
@@ -75,6 +77,8 @@
   [[nodiscard]] bool primary_is_leaving(const SuspicionCounts& counts) const;
 
   void enter_steady();
+  [[nodiscard]] std::set<core::DatabaseId> started_again(const protocol::Group& next) const;
+  void on_started_again(core::Instant now, const std::set<core::DatabaseId>& databases);
   void begin(core::Instant now, bool planned);
   void propose_begin(core::Instant now);
   void start_quiescing(core::Instant now);
@@ -93,6 +97,7 @@
   std::vector<core::DaemonId> owners_;
   MemberProbes probes_;
   DepartedDatabaseRemoval departed_removal_;
+  ReturnedLogCheck returned_logs_;
   SuspicionTally tally_;
 
   Phase phase_ = Phase::kSteady;
--- a/src/failover/member_probes.cpp
+++ b/src/failover/member_probes.cpp
@@ -6,14 +6,20 @@
 
 namespace pipitpond::failover {
 
-void MemberProbes::set_members(const protocol::Group& group) {
+void MemberProbes::set_members(core::Instant now, const protocol::Group& group) {
   std::map<core::DatabaseId, Member> members;
   for (const protocol::Database& database : group.databases) {
     const auto known = members_.find(database.id);
-    if (known != members_.end() && known->second.endpoint == database.endpoint) {
-      members[database.id] = known->second;
+    const bool is_known = known != members_.end();
+    const bool started_again = is_known && known->second.born > 0 && known->second.born != database.born;
+    Member& member = members[database.id];
+    if (started_again) {
+      member.answers_count_from = now + kLongestProbe;
+    } else if (is_known && known->second.endpoint == database.endpoint) {
+      member = known->second;
     }
-    members[database.id].endpoint = database.endpoint;
+    member.endpoint = database.endpoint;
+    member.born = database.born;
   }
   members_ = std::move(members);
   group_ = group.name;
@@ -21,9 +27,11 @@
 
 void MemberProbes::reset() {
   for (auto& [id, member] : members_) {
-    const core::Endpoint endpoint = member.endpoint;
-    member = Member{};
-    member.endpoint = endpoint;
+    Member cleared;
+    cleared.endpoint = member.endpoint;
+    cleared.born = member.born;
+    cleared.answers_count_from = member.answers_count_from;
+    member = cleared;
   }
   last_probe_call_.reset();
 }
@@ -56,6 +64,9 @@
   }
   Member& member = found->second;
   member.in_flight_since.reset();
+  if (now < member.answers_count_from) {
+    return;
+  }
   member.failures = 0;
   if (!member.status.has_value()) {
     member.first_answered = now;
--- a/src/failover/member_probes.hpp
+++ b/src/failover/member_probes.hpp
@@ -12,14 +12,15 @@
 #include "database/protocol.hpp"
 #include "failover/effects.hpp"
 #include "protocol/configuration.hpp"
+#include "protocol/tunables.hpp"
 
 namespace pipitpond::failover {
 
 /// Probes the members of one group.
 class MemberProbes {
  public:
-  /// Sets the databases to probe. Keeps the results of databases whose endpoint is unchanged.
-  void set_members(const protocol::Group& group);
+  /// Sets the databases to probe. Keeps the results of databases that have neither moved nor started again.
+  void set_members(core::Instant now, const protocol::Group& group);
   /// Clears all results, e.g. when leadership is gained.
   void reset();
 
@@ -32,7 +33,7 @@
   /// The last probe did not fail, and an answer arrived within kProbeAnswerMaxAge.
   [[nodiscard]] bool reachable(core::Instant now, const core::DatabaseId& database) const;
   /// Number of reachable members other than `excluded`.
-  [[nodiscard]] std::size_t count_reachable(core::Instant now, const core::DatabaseId& excluded = {}) const;
+  [[nodiscard]] std::size_t count_reachable(core::Instant now, const core::DatabaseId& excluded) const;
   /// At least kProbeFailuresToSuspect probes in a row failed.
   [[nodiscard]] bool suspected_unreachable(const core::DatabaseId& database) const;
   /// The last probe failed.
@@ -46,6 +47,9 @@
  private:
   struct Member {
     core::Endpoint endpoint;
+    std::uint64_t born = 0;
+    /// Until then, an answer may come from the earlier life of a database that has started again.
+    core::Instant answers_count_from;
     std::optional<core::Instant> in_flight_since;  ///< Send time of the probe in flight.
     std::optional<core::Instant> last_sent;
     std::uint32_t failures = 0;
@@ -62,6 +66,8 @@
 
 /// Maximum age of a probe answer that counts a database as reachable.
 inline constexpr core::Duration kProbeAnswerMaxAge = std::chrono::milliseconds(700);
+/// Longest time between the sending of a probe and its answer: to connect, and to be answered.
+inline constexpr core::Duration kLongestProbe = 2 * protocol::kProbeTimeout;
 /// A replica that has received nothing for this long while its primary waits for it is taken as disconnected
 /// from the primary.
 inline constexpr core::Duration kReplicationProgressWindow = std::chrono::milliseconds(400);
--- a/src/failover/primary_choice.hpp
+++ b/src/failover/primary_choice.hpp
@@ -16,6 +16,7 @@
   core::LogPosition received;  ///< Position of the last entry in its log.
   bool leaving = false;        ///< Shutting down or draining: chosen only when no other database is safe.
   bool avoided = false;        ///< The replaced primary, or its promotion failed: preferred to leaving only.
+  bool log_unproven = false;   ///< It has started again, and may have lost entries that it had received.
 };
 
 /// Smallest majority of a group of this size.
@@ -37,6 +38,12 @@
   return group_size > sync_replicas ? group_size - sync_replicas : group_size;
 }
 
+/// True when the fenced databases are enough to choose from. Either fences_needed() of them have kept their
+/// logs, or the whole group is fenced. A database that may have lost its log is no holder of any write: it
+/// counts as a member that is not fenced, but for the case that no member is missing. `members`: size of the
+/// group.
+bool enough_fenced(const std::vector<FencedMember>& fenced, std::size_t members, std::size_t sync_replicas);
+
 /// Returns the database to promote, or empty while too few are fenced.
 ///
 /// A database is safe to promote when its log is at least as up to date as those of a majority of the group,
@@ -45,7 +52,9 @@
 /// committed entry of the other (as in Raft's election restriction). Safe databases are ranked by
 /// `leaving`, then `avoided`, then the most up-to-date log. With `sync_replicas` > 0, fences_needed()
 /// replaces the majority: at most `sync_replicas` databases can be ahead of the chosen one, and an
-/// acknowledged write is on one database more than that.
+/// acknowledged write is on one database more than that. Databases that may have lost their logs are left
+/// out. Where too few are left, but the whole group is fenced, only the most up-to-date log is safe: it holds
+/// every acknowledged write that any database still holds.
 std::optional<core::DatabaseId> choose_primary(const std::vector<FencedMember>& fenced,
                                                std::size_t group_size, std::size_t sync_replicas = 0);
 
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -53,16 +53,4 @@
   return declared == nullptr ? Budget{} : budget_of(configuration, *declared, self);
 }
 
-const protocol::Database* find_database(const protocol::Configuration& configuration,
-                                        const core::DatabaseId& database) {
-  for (const auto& [name, group] : configuration.groups) {
-    for (const protocol::Database& one : group.databases) {
-      if (one.id == database) {
-        return &one;
-      }
-    }
-  }
-  return nullptr;
-}
-
 }  // namespace pipitpond::ownership
--- a/src/ownership/ownership.hpp
+++ b/src/ownership/ownership.hpp
@@ -33,8 +33,4 @@
 Budget budget(const protocol::Configuration& configuration, const core::DatabaseId& database,
               const core::DaemonId& self);
 
-/// The database's declaration, or null.
-const protocol::Database* find_database(const protocol::Configuration& configuration,
-                                        const core::DatabaseId& database);
-
 }  // namespace pipitpond::ownership
--- a/src/pooling/backends.cpp
+++ b/src/pooling/backends.cpp
@@ -61,6 +61,7 @@
     member.pool->set_slots(database.slots);
     member.draining = database.draining;
     member.departed = database.departed;
+    member.log_unproven = database.log_unproven;
     members.emplace(database.id, std::move(member));
   }
   for (auto& [id, gone] : view.members) {
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -133,6 +133,7 @@
     std::shared_ptr<BackendPool> pool;
     bool draining = false;
     bool departed = false;
+    bool log_unproven = false;  ///< Its log may lack acknowledged writes, so it proves no primary.
   };
 
   struct GroupView {
--- a/src/pooling/backends_positions.cpp
+++ b/src/pooling/backends_positions.cpp
@@ -70,7 +70,7 @@
   RoundSubject subject{group, view->primary, {}, view->members.size()};
   for (const auto& [id, member] : view->members) {
     const bool reachable = member.pool->health().usable() || other_owners_reachable(*member.pool, now);
-    if (!member.departed && reachable) {
+    if (!member.departed && !member.log_unproven && reachable) {
       subject.pools.push_back(member.pool);
     }
   }
--- a/src/pooling/primary_proof.hpp
+++ b/src/pooling/primary_proof.hpp
@@ -10,12 +10,13 @@
 // and stays there: when a primary is replaced, it keeps the part of its log that its successor has. Nothing
 // that happens after the replies invalidates the proof, so a paused or slow daemon does no harm.
 //
-// The proof relies on three properties. A database keeps its log across restarts. A replica acknowledges an
-// entry only once the entry is in its log. The group never has more databases that can acknowledge writes
-// than the daemon's configuration lists: a database is replaced by another at its address, after it has
-// stopped. An outdated configuration is therefore safe too: each database that was replaced without the
-// daemon's knowledge counts as one that did not reply, and at most one may be missing. Databases that have
-// left count as not replying for as long as the configuration lists them.
+// The proof relies on three properties. A database keeps its log across restarts: one that may have lost it
+// is not asked until its log has been seen to be complete. A replica acknowledges an entry only once the
+// entry is in its log. The group never has more databases that can acknowledge writes than the daemon's
+// configuration lists: a database is replaced by another at its address, after it has stopped. An outdated
+// configuration is therefore safe too: each database that was replaced without the daemon's knowledge counts
+// as one that did not reply, and at most one may be missing. Databases that have left count as not replying
+// for as long as the configuration lists them.
 #pragma once
 
 #include <cstddef>
--- a/src/protocol/configuration.cpp
+++ b/src/protocol/configuration.cpp
@@ -88,6 +88,26 @@
   return true;
 }
 
+const Database* find_database(const Group& group, const core::DatabaseId& database) {
+  const auto found = std::find_if(group.databases.begin(), group.databases.end(),
+                                  [&](const Database& one) { return one.id == database; });
+  return found == group.databases.end() ? nullptr : &*found;
+}
+
+const Group* group_of(const Configuration& configuration, const core::DatabaseId& database) {
+  for (const auto& [name, group] : configuration.groups) {
+    if (find_database(group, database) != nullptr) {
+      return &group;
+    }
+  }
+  return nullptr;
+}
+
+const Database* find_database(const Configuration& configuration, const core::DatabaseId& database) {
+  const Group* group = group_of(configuration, database);
+  return group == nullptr ? nullptr : find_database(*group, database);
+}
+
 std::optional<TermStart> current_primary(const Group& group) {
   if (group.terms.empty() || group.terms.back().primary.empty()) {
     return std::nullopt;
--- a/src/protocol/configuration.hpp
+++ b/src/protocol/configuration.hpp
@@ -49,8 +49,15 @@
   bool departed = false;
   /// Owners that share its connections; 0: kOwnersPerDatabase.
   std::uint32_t max_owners = 0;
-
-  MSGPACK_DEFINE(id, endpoint, zone, connection_limit, slots, draining, departed, max_owners);
+  /// Start of its current life, in milliseconds of Unix time; 0: it does not say. A database that starts
+  /// again under its id begins a new life, which knows nothing of the earlier one.
+  std::uint64_t born = 0;
+  /// It has started again while it was a member, and may have lost entries that it had received before. Until
+  /// its log has been seen to reach the primary's, it is no evidence of which writes were acknowledged.
+  bool log_unproven = false;
+
+  MSGPACK_DEFINE(id, endpoint, zone, connection_limit, slots, draining, departed, max_owners, born,
+                 log_unproven);
 };
 
 /// Start of one primary's term.
@@ -223,6 +230,14 @@
 /// when it does not, or edits another table of routes.
 bool apply(Configuration& configuration, const Change& change);
 
+/// The group that has the database, or null.
+const Group* group_of(const Configuration& configuration, const core::DatabaseId& database);
+
+/// The database's declaration, or null.
+const Database* find_database(const Configuration& configuration, const core::DatabaseId& database);
+/// The group's declaration of the database, or null.
+const Database* find_database(const Group& group, const core::DatabaseId& database);
+
 /// The group's current primary, or empty while a change is in progress.
 std::optional<TermStart> current_primary(const Group& group);
 
--- a/src/simulation_group/control_node.cpp
+++ b/src/simulation_group/control_node.cpp
@@ -112,7 +112,7 @@
 
 void ControlNode::drain_leaving_databases(const protocol::Heartbeat& heartbeat) {
   for (const protocol::SuspicionReport& report : heartbeat.suspicions) {
-    const protocol::Database* database = ownership::find_database(configuration(), report.database);
+    const protocol::Database* database = protocol::find_database(configuration(), report.database);
     const bool leaving = report.suspicion == protocol::Suspicion::kLeaving;
     if (leaving && database != nullptr && !database->draining) {
       propose("database " + report.database.value(),
--- a/src/simulation_group/control_node.hpp
+++ b/src/simulation_group/control_node.hpp
@@ -69,8 +69,9 @@
   void carry_out(const failover::PromoteDatabase& effect);
   void carry_out(const failover::ProposeBeginPrimaryChange& effect);
   void carry_out(const failover::ProposeCompletePrimaryChange& effect);
-  void carry_out(const failover::ProposeAdoptPrimary&) {}    ///< Its groups are declared by operators.
-  void carry_out(const failover::ProposeRemoveDatabase&) {}  ///< The same.
+  void carry_out(const failover::ProposeAdoptPrimary&) {}      ///< Its groups are declared by operators.
+  void carry_out(const failover::ProposeRemoveDatabase&) {}    ///< The same.
+  void carry_out(const failover::ProposeProveDatabaseLog&) {}  ///< The same.
   void fence(const failover::FenceDatabase& effect);
   void pretend_fence(const failover::FenceDatabase& effect);
   void promote(const failover::PromoteDatabase& effect);
--- a/tests/configuration/registry_test.cpp
+++ b/tests/configuration/registry_test.cpp
@@ -45,6 +45,14 @@
     return registration;
   }
 
+  /// The same from a database that says when its life began.
+  static RegisterDatabase database_born(const std::string& id, std::uint16_t port, std::uint64_t born,
+                                        bool draining = false) {
+    RegisterDatabase registration = database(id, port, draining);
+    registration.database.born = born;
+    return registration;
+  }
+
   [[nodiscard]] const protocol::Group& plates() const {
     return machine_.configuration().groups.at(core::GroupName("plates"));
   }
@@ -222,17 +230,139 @@
 TEST_F(RegistryTest, ADepartedDatabaseStaysUntilItIsRemovedAndDoesNotComeBack) {
   apply(table(1));
   apply(database("a", 9001));
-  apply(DepartDatabase{core::DatabaseId("a")});
+  apply(DepartDatabase{core::DatabaseId("a"), 0});
   ASSERT_EQ(plates().databases.size(), 1U);
   EXPECT_TRUE(plates().databases[0].departed);
   apply(database("a", 9001));
   EXPECT_TRUE(plates().databases[0].departed) << "a late heartbeat";
-  apply(RemoveDatabase{core::DatabaseId("a")});
+  apply(RemoveDatabase{core::DatabaseId("a"), 0});
   EXPECT_TRUE(plates().databases.empty());
   EXPECT_FALSE(apply(database("a", 9001)).changed) << "a late heartbeat";
   EXPECT_TRUE(plates().databases.empty());
 }
 
+// Acknowledged writes were lost: a database that left and started again under its id never became a member
+// again, so that fences were counted without it while it acknowledged entries.
+TEST_F(RegistryTest, ADatabaseThatStartsAgainAfterItsRemovalIsAMemberAgain) {
+  apply(table(1));
+  apply(database_born("a", 9001, 100));
+  apply(DepartDatabase{core::DatabaseId("a"), 100});
+  apply(RemoveDatabase{core::DatabaseId("a"), 100});
+  ASSERT_TRUE(plates().databases.empty());
+  EXPECT_FALSE(apply(database_born("a", 9001, 100)).changed)
+      << "a late heartbeat of the life that was removed";
+  EXPECT_FALSE(apply(database_born("a", 9001, 50)).changed) << "a late heartbeat of a life before it";
+  EXPECT_FALSE(apply(database("a", 9001)).changed) << "no birth is told: today's rule";
+  EXPECT_TRUE(apply(database_born("a", 9001, 200)).changed);
+  ASSERT_EQ(plates().databases.size(), 1U);
+  EXPECT_FALSE(plates().databases[0].draining);
+  EXPECT_FALSE(plates().databases[0].departed);
+  apply(DepartDatabase{core::DatabaseId("a"), 200});
+  apply(RemoveDatabase{core::DatabaseId("a"), 200});
+  EXPECT_TRUE(apply(database_born("a", 9001, 300)).changed) << "again and again";
+}
+
+TEST_F(RegistryTest, ADatabaseThatStartsAgainAfterASuccessorTookItsAddressIsAMemberAgain) {
+  apply(table(1));
+  apply(database_born("a", 9001, 100));
+  apply(database_born("a2", 9001, 200));
+  EXPECT_FALSE(apply(database_born("a", 9001, 100)).changed) << "a heartbeat that a cut delayed";
+  EXPECT_TRUE(apply(database_born("a", 9002, 300)).changed);
+  EXPECT_EQ(plates().databases.size(), 2U);
+}
+
+// A database that was back before its removal kept what its earlier life had said: it stayed out of use, and
+// was removed while it acknowledged entries.
+TEST_F(RegistryTest, ALaterLifeOfAMemberBeginsAnewWithALogThatProvesNothing) {
+  apply(table(1));
+  apply(database_born("a", 9001, 100));
+  apply(database_born("a", 9001, 100, true));
+  apply(DepartDatabase{core::DatabaseId("a"), 100});
+  EXPECT_TRUE(apply(database_born("a", 9001, 200)).changed);
+  ASSERT_EQ(plates().databases.size(), 1U);
+  EXPECT_FALSE(plates().databases[0].draining);
+  EXPECT_FALSE(plates().databases[0].departed);
+  EXPECT_TRUE(plates().databases[0].log_unproven);
+  EXPECT_FALSE(apply(RemoveDatabase{core::DatabaseId("a"), 100}).changed) << "decided for the earlier life";
+  EXPECT_FALSE(apply(RemoveDatabase{core::DatabaseId("a"), 0}).changed) << "it has not departed";
+  EXPECT_EQ(plates().databases.size(), 1U);
+}
+
+TEST_F(RegistryTest, ALateMessageOfAnEarlierLifeChangesNothing) {
+  apply(table(1));
+  apply(database_born("a", 9001, 100));
+  apply(database_born("a", 9002, 200));
+  EXPECT_FALSE(apply(database_born("a", 9001, 100, true)).changed);
+  EXPECT_FALSE(apply(DepartDatabase{core::DatabaseId("a"), 100}).changed);
+  EXPECT_EQ(plates().databases[0].endpoint.port, 9002);
+  EXPECT_EQ(plates().databases[0].born, 200U);
+  EXPECT_FALSE(plates().databases[0].draining);
+  EXPECT_TRUE(apply(DepartDatabase{core::DatabaseId("a"), 200}).changed);
+}
+
+TEST_F(RegistryTest, AFirstBirthIsTheOneOfTheKnownLife) {
+  // The database was registered by a version that did not read births: what it has said holds on.
+  apply(table(1));
+  apply(database("a", 9001, true));
+  EXPECT_TRUE(apply(database_born("a", 9001, 100)).changed);
+  EXPECT_TRUE(plates().databases[0].draining);
+  EXPECT_FALSE(plates().databases[0].log_unproven);
+}
+
+TEST_F(RegistryTest, ALogIsProvenForOneLife) {
+  apply(table(1));
+  apply(database_born("a", 9001, 100));
+  apply(database_born("a", 9001, 200));
+  EXPECT_FALSE(apply(ProveDatabaseLog{core::DatabaseId("a"), 100}).changed);
+  EXPECT_TRUE(plates().databases[0].log_unproven);
+  EXPECT_FALSE(apply(database_born("a", 9001, 200)).changed) << "a heartbeat proves nothing";
+  EXPECT_TRUE(apply(database_born("a", 9001, 200, true)).changed);
+  EXPECT_TRUE(plates().databases[0].log_unproven);
+  EXPECT_TRUE(apply(ProveDatabaseLog{core::DatabaseId("a"), 200}).changed);
+  EXPECT_FALSE(plates().databases[0].log_unproven);
+}
+
+TEST_F(RegistryTest, ASnapshotKeepsTheBirthsOfWhatWasRemoved) {
+  apply(table(1));
+  apply(database_born("a", 9001, 100));
+  apply(DepartDatabase{core::DatabaseId("a"), 100});
+  apply(RemoveDatabase{core::DatabaseId("a"), 100});
+  StateMachine restored;
+  ASSERT_TRUE(restored.restore(machine_.snapshot()).has_value());
+  EXPECT_FALSE(restored.apply(index_ + 1, Command{{}, 0, database_born("a", 9001, 100)}).changed);
+  EXPECT_TRUE(restored.apply(index_ + 2, Command{{}, 0, database_born("a", 9001, 200)}).changed);
+}
+
+/// A copy of an array without its last elements, as versions that did not know them have written it.
+msgpack::object without_last(const msgpack::object& array, std::uint32_t count, msgpack::zone& zone) {
+  msgpack::object copy(array, zone);
+  copy.via.array.size -= count;
+  return copy;
+}
+
+TEST_F(RegistryTest, CommandsAndSnapshotsOfVersionsWithoutBirthsAreUnderstood) {
+  msgpack::zone zone;
+  const std::string packed = wire::pack(database("a", 9001));
+  const auto handle = msgpack::unpack(packed.data(), packed.size());
+  msgpack::object registration(handle.get(), zone);
+  constexpr std::uint32_t kNewDatabaseFields = 2;
+  registration.via.array.ptr[1] = without_last(registration.via.array.ptr[1], kNewDatabaseFields, zone);
+  apply(table(1));
+  EXPECT_TRUE(apply(registration.as<RegisterDatabase>()).changed);
+  EXPECT_EQ(plates().databases[0].born, 0U);
+
+  apply(DepartDatabase{core::DatabaseId("a"), 0});
+  apply(RemoveDatabase{core::DatabaseId("a"), 0});
+  const std::string snapshot = machine_.snapshot();
+  const auto whole = msgpack::unpack(snapshot.data(), snapshot.size());
+  msgpack::object older(whole.get(), zone);
+  constexpr std::uint32_t kNewStateFields = 1;
+  older.via.array.ptr[1] = without_last(older.via.array.ptr[1], kNewStateFields, zone);
+  StateMachine restored;
+  ASSERT_TRUE(restored.restore(wire::pack(older)).has_value());
+  EXPECT_FALSE(restored.apply(index_ + 1, Command{{}, 0, database("a", 9001)}).changed) << "today's rule";
+}
+
 TEST_F(RegistryTest, APrimaryIsAdoptedOnce) {
   apply(table(1));
   apply(database("a", 9001));
@@ -246,8 +376,8 @@
 TEST_F(RegistryTest, ASnapshotKeepsAllOfIt) {
   apply(table(7, "seven"));
   apply(database("a", 9001));
-  apply(DepartDatabase{core::DatabaseId("a")});
-  apply(RemoveDatabase{core::DatabaseId("a")});
+  apply(DepartDatabase{core::DatabaseId("a"), 0});
+  apply(RemoveDatabase{core::DatabaseId("a"), 0});
   StateMachine restored;
   ASSERT_TRUE(restored.restore(machine_.snapshot()).has_value());
   EXPECT_EQ(restored.route_document(), "seven");
--- a/tests/failover_logic/semi_synchronous_test.cpp
+++ b/tests/failover_logic/semi_synchronous_test.cpp
@@ -64,6 +64,50 @@
   }
 }
 
+// Property: the same while databases have started again without their logs, and are known to have. A write
+// that was acknowledged to a replica that has lost it since is still on the primary of that time.
+RC_GTEST_PROP(SemiSynchronousChoiceProperty, ChosenPrimaryHasEveryWriteThatIsLeftThoughLogsWereLost, ()) {
+  const auto size = static_cast<std::size_t>(*rc::gen::inRange(2, 6));
+  auto received =
+      *rc::gen::container<std::vector<std::uint64_t>>(size, rc::gen::inRange<std::uint64_t>(0, 20));
+  received[0] = *std::max_element(received.begin(), received.end()) + *rc::gen::inRange<std::uint64_t>(0, 3);
+  const std::uint64_t acknowledged = *std::max_element(received.begin() + 1, received.end());
+  std::vector<FencedMember> members;
+  std::uint64_t left = 0;
+  for (std::size_t number = 0; number < size; ++number) {
+    FencedMember member = fenced(std::to_string(number), received[number]);
+    member.log_unproven = *rc::gen::arbitrary<bool>();
+    if (member.log_unproven) {
+      received[number] = *rc::gen::inRange<std::uint64_t>(0, received[number] + 1);
+      member.received.index = received[number];
+    }
+    left = std::max(left, received[number]);
+    if (*rc::gen::arbitrary<bool>()) {
+      members.push_back(member);
+    }
+  }
+  const auto chosen = choose_primary(members, size, 1);
+  if (chosen) {
+    RC_ASSERT(received.at(std::stoul(chosen->value())) >= std::min(acknowledged, left));
+  }
+}
+
+TEST(SemiSynchronousChoiceTest, ADatabaseThatMayHaveLostItsLogProvesNothing) {
+  FencedMember returned = fenced("b", 0);
+  returned.log_unproven = true;
+  EXPECT_FALSE(choose_primary({returned, fenced("c", 8)}, 3, 1)) << "the third may hold the only copy";
+  EXPECT_EQ(choose_primary({returned, fenced("c", 8), fenced("a", 9)}, 3, 1), core::DatabaseId("a"));
+}
+
+TEST(SemiSynchronousChoiceTest, AWholeGroupThatIsFencedHidesNoWrite) {
+  FencedMember first = fenced("a", 9);
+  FencedMember second = fenced("b", 7);
+  first.log_unproven = true;
+  second.log_unproven = true;
+  EXPECT_FALSE(choose_primary({first, second}, 3, 1));
+  EXPECT_EQ(choose_primary({first, second, fenced("c", 8)}, 3, 1), core::DatabaseId("a"));
+}
+
 /// Simulated databases that the platform runs: a fence demotes the database or holds its log instead of
 /// raising its term, and an external service promotes.
 class SemiSynchronousGroupTest : public testing::Test {
@@ -86,6 +130,7 @@
       database.endpoint = {"127.0.0.1", ++port};
       database.connection_limit = 30;
       database.max_owners = 10;
+      database.born = ++births_;
       group_.databases.push_back(database);
     }
     databases_["a"].primary = true;
@@ -179,12 +224,32 @@
     std::erase_if(group_.databases, [&](const protocol::Database& one) { return one.id == remove.database; });
     commit();
   }
+  void carry_out(const ProposeProveDatabaseLog& proof) {
+    EXPECT_EQ(proof.born, member(proof.database.value()).born);
+    member(proof.database.value()).log_unproven = false;
+    commit();
+  }
+
+  protocol::Database& member(const std::string& id) {
+    return *std::find_if(group_.databases.begin(), group_.databases.end(),
+                         [&](const protocol::Database& one) { return one.id.value() == id; });
+  }
+
+  /// The database starts again under its id, as its first heartbeat says.
+  void start_again(const std::string& id, core::LogPosition received) {
+    databases_[id].primary = false;
+    databases_[id].received = received;
+    member(id).born = ++births_;
+    member(id).log_unproven = true;
+    commit();
+  }
 
   core::Instant now_ = core::Instant(std::chrono::hours(1));
   bool revision_applied_ = true;
   Coordinator coordinator_;
   protocol::Configuration configuration_;
   protocol::Group group_;
+  std::uint64_t births_ = 0;
   std::map<std::string, Database> databases_;
   std::vector<std::string> promoted_;
 };
@@ -293,5 +358,96 @@
   EXPECT_EQ(group_.databases.size(), 2U);
 }
 
+// Acknowledged writes were lost: a replica that had started again without its log was fenced, taken for a
+// holder of all that it had acknowledged before, and another one that lacked it was promoted.
+TEST_F(SemiSynchronousGroupTest, ADeadPrimaryIsAwaitedWhileTheReplicaThatHadItsWritesHasLostItsLog) {
+  run(milliseconds(500));
+  databases_["a"].received = {1, 90};
+  start_again("b", {});
+  databases_["a"].reachable = false;
+  run(milliseconds(5000), 4);
+  EXPECT_TRUE(promoted_.empty()) << "writes that only the lost log and the primary had would be gone";
+  databases_["a"].reachable = true;
+  run(milliseconds(3000), 4);
+  EXPECT_EQ(primary(), "a") << "the only log with every acknowledged write";
+}
+
+TEST_F(SemiSynchronousGroupTest, AReplicaThatStartedAgainCountsOnceItHasCaughtUp) {
+  run(milliseconds(500));
+  databases_["a"].received = {1, 90};
+  start_again("b", {});
+  run(milliseconds(2000));
+  EXPECT_TRUE(member("b").log_unproven);
+  databases_["b"].received = {1, 90};
+  run(milliseconds(2000));
+  EXPECT_FALSE(member("b").log_unproven);
+  databases_["a"].reachable = false;
+  run(milliseconds(3000), 4);
+  EXPECT_EQ(primary(), "b");
+}
+
+TEST_F(SemiSynchronousGroupTest, AnswersOfAnEarlierLifeProveNoLog) {
+  run(milliseconds(500));
+  start_again("b", {1, 50});  // As an answer under way at the end of the earlier life shows it.
+  run(milliseconds(300));
+  EXPECT_TRUE(member("b").log_unproven);
+  databases_["b"].received = {};
+  run(milliseconds(2000));
+  EXPECT_TRUE(member("b").log_unproven);
+}
+
+TEST_F(SemiSynchronousGroupTest, APrimaryBackWithoutItsLogIsReplacedByTheReplicaWithEverything) {
+  run(milliseconds(500));
+  databases_["b"].received = {1, 40};
+  databases_["c"].received = {1, 90};
+  databases_["c"].reachable = false;
+  start_again("a", {});
+  run(milliseconds(3000), 4, protocol::Suspicion::kNotPrimary);
+  EXPECT_TRUE(promoted_.empty()) << "the replica that does not answer may have everything";
+  databases_["c"].reachable = true;
+  run(milliseconds(3000), 4, protocol::Suspicion::kNotPrimary);
+  EXPECT_EQ(primary(), "c");
+}
+
+TEST_F(SemiSynchronousGroupTest, APrimaryBackWithItsLogLeadsOnAndProvesTheOthers) {
+  run(milliseconds(500));
+  databases_["a"].received = {1, 90};
+  start_again("a", {1, 90});
+  start_again("b", {1, 90});
+  databases_["a"].primary = true;
+  run(milliseconds(3000));
+  EXPECT_EQ(primary(), "a");
+  EXPECT_FALSE(member("a").log_unproven);
+  EXPECT_FALSE(member("b").log_unproven);
+}
+
+TEST_F(SemiSynchronousGroupTest, ACandidateThatStartsAgainDuringItsPromotionIsAbandoned) {
+  run(milliseconds(500));
+  databases_["a"].reachable = false;
+  databases_["b"].received = {1, 60};
+  revision_applied_ = false;  // The promotion stays uncommitted.
+  run(milliseconds(2000), 4);
+  ASSERT_EQ(promoted_.back(), "b");
+  start_again("b", {});
+  revision_applied_ = true;
+  databases_["a"].reachable = true;
+  databases_["a"].received = {1, 60};
+  run(milliseconds(3000), 4);
+  EXPECT_EQ(promoted_.back(), "a");
+  EXPECT_EQ(primary(), "a");
+}
+
+TEST_F(SemiSynchronousGroupTest, NoReplicaIsRemovedOnTheWordOfAPrimaryWithoutItsLog) {
+  run(milliseconds(500));
+  databases_["b"].received = {1, 60};
+  databases_["c"].received = {1, 80};
+  databases_["c"].reachable = false;
+  member("c").departed = true;
+  start_again("a", {});
+  databases_["a"].primary = true;
+  run(milliseconds(3000));
+  EXPECT_EQ(group_.databases.size(), 3U) << "its log may hold the only copy of an acknowledged write";
+}
+
 }  // namespace
 }  // namespace pipitpond::failover
--- a/tests/platform/control_requests_test.cpp
+++ b/tests/platform/control_requests_test.cpp
@@ -182,6 +182,25 @@
   EXPECT_EQ(nlohmann::json::parse(answer.body), (nlohmann::json{{"BeatAddr", "10.0.0.4:8782"}}));
 }
 
+TEST(ControlRequestsTest, NoticesSayWhichLifeOfADatabaseTheyComeFrom) {
+  const auto heartbeat = translate_request(
+      post("/Instances.Heartbeat/i-1", R"({"Service":"s","Address":"10.1.0.9:8080","Zone":"z","Slots":2,
+      "State":"ready","Seq":4,"born":1764835200123})"));
+  ASSERT_TRUE(heartbeat.has_value());
+  const auto registration = control::parse_database_notice("i-1/heartbeat", heartbeat->request.body);
+  ASSERT_TRUE(registration.has_value());
+  EXPECT_EQ(std::get<configuration::RegisterDatabase>(registration.value().operation).database.born,
+            1764835200123U);
+  const auto leave = translate_request(post("/Instances.Leave/i-1", R"({"born":1764835200123})"));
+  ASSERT_TRUE(leave.has_value());
+  const auto departure = control::parse_database_notice("i-1/leave", leave->request.body);
+  ASSERT_TRUE(departure.has_value());
+  EXPECT_EQ(std::get<configuration::DepartDatabase>(departure.value().operation).born, 1764835200123U);
+  const auto bare = translate_request(post("/Instances.Leave/i-1", ""));
+  ASSERT_TRUE(bare.has_value());
+  EXPECT_TRUE(control::parse_database_notice("i-1/leave", bare->request.body).has_value());
+}
+
 TEST(ControlRequestsTest, BrokenHeartbeatsAreRefused) {
   for (const char* body : {"", "{", "[]", R"({"Service":1})", R"({"Service":"s","Address":"nowhere"})"}) {
     const auto call = translate_request(post("/Instances.Heartbeat/i-1", body));
--- /dev/null
+++ b/tests/platform/database_lives_test.cpp
@@ -0,0 +1,124 @@
+// Databases that start again under their ids, on real processes: which of them control takes for holders of
+// acknowledged writes. Judged by the log of the database that is promoted.
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "platform_support/platform_fleet.hpp"
+
+namespace pipitpond::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kPrimary = 0;
+constexpr std::size_t kReturning = 1;
+constexpr std::size_t kDeaf = 2;
+
+class DatabaseLivesTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    ASSERT_TRUE(fleet_.become_ready());
+    ASSERT_TRUE(database(kPrimary).primary());
+  }
+
+  platform_stage::Database& database(std::size_t number) { return fleet_.service().database(number); }
+
+  /// What control says of a database; null when it is no member.
+  nlohmann::json member(std::size_t number) {
+    const auto status = fleet_.control_status();
+    if (status) {
+      for (const auto& one : status->at("groups").at(0).at("databases")) {
+        if (one.at("id") == database(number).options().id) {
+          return one;
+        }
+      }
+    }
+    return nullptr;
+  }
+
+  void write(int count) {
+    auto session = fleet_.caller(0, "writes");
+    ASSERT_NE(session, nullptr);
+    for (int number = 0; number < count; ++number) {
+      const std::string thing = "w" + std::to_string(acknowledged_.size());
+      ASSERT_TRUE(session->query("WRITE " + thing + " x").ok());
+      acknowledged_.push_back(thing);
+    }
+  }
+
+  bool write_is_served() {
+    auto caller = fleet_.caller(0, "writes");
+    return caller != nullptr && caller->query("WRITE after-change yes").ok();
+  }
+
+  /// Waits until a database leads that control has promoted, and lets replicas receive again. Writes go on,
+  /// for without any nobody misses a primary.
+  bool wait_until_served() {
+    const bool promoted = fleet_.wait([&] {
+      const platform_stage::Database* primary = fleet_.service().primary();
+      return (primary != nullptr && primary->term() > 1) || write_is_served();
+    });
+    for (const std::size_t number : {kReturning, kDeaf}) {
+      database(number).set_deaf(false);
+    }
+    return promoted && fleet_.wait([&] { return write_is_served(); });
+  }
+
+  void expect_nothing_lost() {
+    const auto kept = platform_stage::values_of(fleet_.service().primary()->log());
+    std::size_t lost = 0;
+    for (const std::string& thing : acknowledged_) {
+      lost += kept.contains(thing) ? 0 : 1;
+    }
+    EXPECT_EQ(lost, 0U) << "of " << acknowledged_.size() << " acknowledged writes";
+  }
+
+  PlatformFleet fleet_;
+  std::vector<std::string> acknowledged_;
+};
+
+// Acknowledged writes were lost: a replica that left and started again under its id was never a member again,
+// and control promoted another one without asking it.
+TEST_F(DatabaseLivesTest, AReplicaThatLeftAndStartedAgainUnderItsIdIsAskedForItsLog) {
+  fleet_.service().drain(kReturning);
+  ASSERT_TRUE(fleet_.wait([&] { return member(kReturning).value("draining", false); }));
+  boost::asio::co_spawn(fleet_.io(), fleet_.service().leave(kReturning), boost::asio::detached);
+  ASSERT_TRUE(fleet_.wait([&] { return !database(kReturning).running(); }));
+  ASSERT_TRUE(fleet_.wait([&] { return member(kReturning).is_null(); }));
+  fleet_.service().start_again(kReturning);
+  fleet_.wait([&] { return !member(kReturning).is_null(); }, seconds(5));
+  database(kDeaf).set_deaf(true);
+  write(30);
+  database(kPrimary).crash();
+  ASSERT_TRUE(wait_until_served());
+  expect_nothing_lost();
+}
+
+// Acknowledged writes were lost: a replica that had started again without its log was fenced as a holder of
+// what it had acknowledged before.
+TEST_F(DatabaseLivesTest, AReplicaThatLostItsLogIsNoHolderOfWhatItAcknowledged) {
+  database(kDeaf).set_deaf(true);
+  write(30);
+  database(kReturning).crash();
+  database(kReturning).set_deaf(true);
+  database(kPrimary).set_cut_off(true);
+  fleet_.service().start_again(kReturning);
+  fleet_.wait([&] { return member(kReturning).value("log_unproven", false); }, seconds(3));
+  database(kPrimary).crash();
+  EXPECT_FALSE(fleet_.wait([&] { return write_is_served(); }, seconds(4)));
+  EXPECT_TRUE(fleet_.service().promotions().empty()) << "only the primary holds the writes";
+  database(kPrimary).set_cut_off(false);
+  database(kPrimary).restart();
+  ASSERT_TRUE(wait_until_served());
+  expect_nothing_lost();
+}
+
+}  // namespace
+}  // namespace pipitpond::platform
--- a/tools/platform_stage/database.cpp
+++ b/tools/platform_stage/database.cpp
@@ -1,5 +1,6 @@
 #include "platform_stage/database.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -36,6 +37,11 @@
   return {std::stoull(text.substr(0, dot)), std::stoull(text.substr(dot + 1))};
 }
 
+std::uint64_t unix_milliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 }  // namespace
 
 /// One connection.
@@ -65,6 +71,7 @@
 void Database::start() {
   running_ = true;
   ++life_;
+  born_ = std::max(born_ + 1, unix_milliseconds());
   if (!acceptor_) {
     take_port();
   }
@@ -101,6 +108,12 @@
   start();
 }
 
+void Database::restart_empty() {
+  log_.clear();
+  term_ = 1;
+  restart();
+}
+
 void Database::set_dark(bool dark) {
   dark_ = dark;
 }
--- a/tools/platform_stage/database.hpp
+++ b/tools/platform_stage/database.hpp
@@ -60,9 +60,12 @@
 
   // Faults.
   void crash();                    ///< Connections break, the port refuses. The log stays.
-  void restart();                  ///< After a crash.
+  void restart();                  ///< After a crash, under its id: a new life with the log of the last one.
+  void restart_empty();            ///< After a crash, under its id: a new life that holds nothing of before.
   void set_dark(bool dark);        ///< Says nothing to anybody.
   void set_cut_off(bool cut_off);  ///< From the other databases.
+  /// A deaf replica receives nothing from its primary, and answers everybody.
+  void set_deaf(bool deaf) { deaf_ = deaf; }
   void set_work(core::Duration work) { options_.work = work; }
   /// The next answers of this many statements are lost: the connection breaks after the statement ran.
   void lose_answers(int count) { answers_to_lose_ = count; }
@@ -74,7 +77,7 @@
   void follow(core::Term term);
   void receive(const Log& log) { log_ = log; }
   [[nodiscard]] bool receives() const {
-    return running_ && !dark_ && !cut_off_ && held_term_ == 0 && !primary_;
+    return running_ && !dark_ && !cut_off_ && !deaf_ && held_term_ == 0 && !primary_;
   }
   /// Held, and within reach of the others.
   [[nodiscard]] bool is_held_replica() const { return linked() && held_term_ != 0 && !primary_; }
@@ -82,6 +85,8 @@
   [[nodiscard]] bool running() const { return running_; }
   [[nodiscard]] bool primary() const { return primary_; }
   [[nodiscard]] core::Term term() const { return term_; }
+  /// Start of the present life, in milliseconds of Unix time. Each start is later than the one before.
+  [[nodiscard]] std::uint64_t born() const { return born_; }
   [[nodiscard]] const Log& log() const { return log_; }
   [[nodiscard]] const DatabaseOptions& options() const { return options_; }
   [[nodiscard]] const std::vector<Executed>& executed() const { return executed_; }
@@ -116,7 +121,9 @@
   bool running_ = false;
   bool dark_ = false;
   bool cut_off_ = false;
+  bool deaf_ = false;
   std::uint64_t life_ = 0;
+  std::uint64_t born_ = 0;
   int answers_to_lose_ = 0;
   int statements_to_fail_ = 0;
   std::uint64_t signatures_ = 0;
--- a/tools/platform_stage/service.cpp
+++ b/tools/platform_stage/service.cpp
@@ -176,8 +176,13 @@
 
 awaitable<void> Service::send_heartbeats(std::size_t number) {
   std::uint64_t sequence = 0;
+  std::uint64_t born = 0;
   while (!stopped_) {
     Database& database = *databases_[number];
+    if (database.born() != born) {
+      born = database.born();
+      sequence = 0;
+    }
     const bool silent = !database.running();
     if (!silent && co_await send_heartbeat(number, ++sequence)) {
       ++heartbeats_;
@@ -186,7 +191,6 @@
   }
 }
 
-/// To one daemon of control after another, until one acknowledges.
 awaitable<bool> Service::send_heartbeat(std::size_t number, std::uint64_t sequence) {
   Database& database = *databases_[number];
   const DatabaseOptions& options = database.options();
@@ -201,7 +205,26 @@
                      {"State", draining ? "draining" : "ready"},
                      {"ColdLeftMs", 0},
                      {"DbRole", database.primary() ? "primary" : "replica"},
-                     {"Seq", sequence}};
+                     {"Seq", sequence},
+                     {"born", database.born()}};
+  co_return co_await notify("/Instances.Heartbeat/" + options.id, body.dump());
+}
+
+awaitable<void> Service::leave(std::size_t number) {
+  Database& database = *databases_[number];
+  const json body = {{"born", database.born()}};
+  while (!stopped_ && !co_await notify("/Instances.Leave/" + database.options().id, body.dump())) {
+    co_await pooling::pause_for(io_, options_.heartbeat);
+  }
+  database.crash();
+}
+
+void Service::start_again(std::size_t number) {
+  draining_.erase(databases_.at(number)->options().id);
+  databases_.at(number)->restart_empty();
+}
+
+awaitable<bool> Service::notify(std::string path, std::string body) {
   for (const core::Endpoint& endpoint : options_.control) {
     auto client = co_await http::Client::connect(io_, endpoint, kCallTimeout);
     if (!client) {
@@ -209,8 +232,8 @@
     }
     http::Request request;
     request.method = "POST";
-    request.path = "/Instances.Heartbeat/" + options.id;
-    request.body = body.dump();
+    request.path = path;
+    request.body = body;
     const auto response = co_await client.value()->send(std::move(request), kCallTimeout);
     if (response && response.value().status == 200) {
       co_return true;
--- a/tools/platform_stage/service.hpp
+++ b/tools/platform_stage/service.hpp
@@ -52,6 +52,10 @@
   [[nodiscard]] const std::vector<Promotion>& promotions() const { return promotions_; }
   /// From the next heartbeat on, the database says that it is draining.
   void drain(std::size_t number) { draining_.insert(databases_.at(number)->options().id); }
+  /// A database that has said that it drains says that it leaves, and ends once that is acknowledged.
+  boost::asio::awaitable<void> leave(std::size_t number);
+  /// Starts a database that has ended under its id again: a new life that holds nothing of before.
+  void start_again(std::size_t number);
   /// How long a promotion takes from now on.
   void set_promotion(core::Duration promotion) { options_.promotion = promotion; }
   /// Numbers of acknowledged heartbeats.
@@ -70,6 +74,8 @@
   boost::asio::awaitable<void> replicate_all();
   boost::asio::awaitable<void> send_heartbeats(std::size_t number);
   boost::asio::awaitable<bool> send_heartbeat(std::size_t number, std::uint64_t sequence);
+  /// To one daemon of control after another, until one acknowledges; false when none did.
+  boost::asio::awaitable<bool> notify(std::string path, std::string body);
   boost::asio::awaitable<void> promote(std::string id);
   http::Response order(const http::Request& request);
   void catch_up(Database& primary);
