A heartbeat takes no member's place unless its database answers at the endpoint

Cause: drop_predecessors() believed whoever named an address last, across groups, and the evicted id was barred for good, while the replica went on giving receipts that the count of fences knew nothing of. Only a database that answers takes the place of a member; another one there refuses the notice (409, nothing proposed); silence proves nothing, so both stay members until one answers: a member too many delays a change, one too few loses writes. Where both say when they were born, the older one is late. Asked are only those who join, move, or share an endpoint: the usual heartbeat is answered as before.

The same on related paths, each with a test: an address that passes to another group does not take its member's log along (it departs and counts until another member holds what it may have held); an id is a member of one group; a move is believed once the database answers there; a database that was removed while it only was out of control's sight counts again when it answers, and takes no work; a heartbeat without `born` from a database that says it is another writer's; a state that isn't named, and missing or mistyped Service, Address, Zone, Slots, State or born, are refused (unknown states passed for ready); a group that no table names is refused once there is a table, and one that came before it is neither probed nor promoted in.

Commands of versions that did not ask (EndpointAnswer::kNotAsked) replay by the rule of before. Ruled out: taking the newest `born` alone for proof (another writer may send one, and older benches send none); refusing a newcomer whose port refuses connections (one that replicates and can't be reached by control must count).

--- a/src/configuration/command.hpp
+++ b/src/configuration/command.hpp
@@ -142,13 +142,24 @@
   MSGPACK_DEFINE(table, document);
 };
 
-/// A database of a self-registered group tells of itself. A database that was known at its endpoint is gone:
-/// this one has taken over its log. Within a life, draining is never taken back.
+/// Which database was found at the endpoint that a notice names.
+enum class EndpointAnswer : std::uint8_t {
+  /// In commands of versions that did not ask: whoever names an endpoint last is believed to be there.
+  kNotAsked,
+  kThisDatabase,     ///< The one that the notice names, in its group.
+  kAnotherDatabase,  ///< Another one, or one of another group.
+  kNoAnswer,         ///< None answered, or none had to be asked. Proves nothing.
+};
+
+/// A database of a self-registered group tells of itself. One that answers at its endpoint has taken the
+/// place and the log of the group's database that was known there. Within a life, draining is never taken
+/// back.
 struct RegisterDatabase {
   core::GroupName group;
   protocol::Database database;
+  EndpointAnswer endpoint_answer = EndpointAnswer::kNotAsked;
 
-  MSGPACK_DEFINE(group, database);
+  MSGPACK_DEFINE(group, database, endpoint_answer);
 };
 
 /// A self-registered database ends: it takes no more work.
@@ -248,3 +259,5 @@
 };
 
 }  // namespace pipitpond::configuration
+
+MSGPACK_ADD_ENUM(pipitpond::configuration::EndpointAnswer);
--- a/src/configuration/database_notice_plan.cpp
+++ b/src/configuration/database_notice_plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "configuration/plan_steps.hpp"
 #include "configuration/self_registered_groups.hpp"
@@ -37,15 +38,46 @@
                       [&id](const Database& database) { return database.id == id; });
 }
 
-/// The databases that had this one's endpoint: gone, for an address is used by one at a time.
-void drop_predecessors(const Configuration& configuration, Change& change, const Database& database) {
-  const auto is_predecessor = [&](const Database& other) {
-    return other.id != database.id && other.endpoint == database.endpoint;
-  };
+bool is_other_at_endpoint(const Database& other, const Database& database) {
+  return other.id != database.id && other.endpoint == database.endpoint;
+}
+
+/// Self-registered members of all groups that are known at the endpoint of this database.
+std::vector<const Database*> others_at_endpoint(const Configuration& configuration,
+                                                const Database& database) {
+  std::vector<const Database*> others;
   for (const auto& [name, group] : configuration.groups) {
-    const bool clashes = std::any_of(group.databases.begin(), group.databases.end(), is_predecessor);
-    if (clashes && group.self_registered) {
-      std::erase_if(changed_group(configuration, change, name).databases, is_predecessor);
+    for (const Database& other : group.databases) {
+      if (group.self_registered && is_other_at_endpoint(other, database)) {
+        others.push_back(&other);
+      }
+    }
+  }
+  return others;
+}
+
+/// The rule of versions that did not ask: an endpoint is used by one database at a time, the last one to say
+/// so.
+void drop_others_at_endpoint(const Configuration& configuration, Change& change, const Database& database) {
+  for (const Database* other : others_at_endpoint(configuration, database)) {
+    const Group* holder = protocol::group_of(configuration, other->id);
+    std::erase_if(changed_group(configuration, change, holder->name).databases,
+                  [&](const Database& one) { return is_other_at_endpoint(one, database); });
+  }
+}
+
+/// The database has answered at its endpoint, so the others that were known there have ended.
+void take_place_of_others(const Configuration& configuration, Change& change,
+                          const core::GroupName& own_group, const Database& database) {
+  for (const Database* other : others_at_endpoint(configuration, database)) {
+    const Group* holder = protocol::group_of(configuration, other->id);
+    std::vector<Database>& members = changed_group(configuration, change, holder->name).databases;
+    const auto ended = find_in(members, other->id);
+    if (holder->name == own_group) {
+      members.erase(ended);
+    } else {
+      ended->departed = true;
+      ended->draining = true;
     }
   }
 }
@@ -70,14 +102,35 @@
   return birth == nullptr || !is_later_life(told.born, *birth);
 }
 
+/// Whether the message is late: what it says of a life has been overtaken.
+bool is_late(const PlanContext& context, const RegisterDatabase& registration, const Database* known) {
+  const Database& told = registration.database;
+  if (known != nullptr) {
+    return is_of_earlier_life(told.born, known->born);
+  }
+  if (registration.endpoint_answer == EndpointAnswer::kThisDatabase) {
+    return false;
+  }
+  const std::vector<const Database*> others = others_at_endpoint(context.configuration, told);
+  const bool was_followed = registration.endpoint_answer != EndpointAnswer::kNotAsked &&
+                            std::any_of(others.begin(), others.end(), [&](const Database* other) {
+                              return is_of_earlier_life(told.born, other->born);
+                            });
+  return was_followed || is_removed(context, told);
+}
+
 /// A member after its message: what is remembered of it holds on within one life.
-Database updated_member(const Database& known, const Database& told) {
+Database updated_member(const Database& known, const Database& told, EndpointAnswer answer) {
   Database next = told;
   if (is_later_life(told.born, known.born)) {
     next.departed = false;
     next.log_unproven = true;
     return next;
   }
+  const bool may_move = answer == EndpointAnswer::kThisDatabase || answer == EndpointAnswer::kNotAsked;
+  if (!may_move) {
+    next.endpoint = known.endpoint;
+  }
   next.draining = told.draining || known.draining;
   next.departed = known.departed;
   next.born = std::max(told.born, known.born);
@@ -85,10 +138,12 @@
   return next;
 }
 
-Database new_member(const Database& told) {
+Database new_member(const PlanContext& context, const Database& told) {
   Database next = told;
-  next.departed = false;
-  next.log_unproven = false;  // The group has one member more, whose log nothing has been acknowledged by.
+  next.log_unproven = false;  // No write has been acknowledged for being in its log.
+  // The life that was removed goes on, out of control's sight until now. It had announced its end.
+  next.departed = is_removed(context, told);
+  next.draining = told.draining || next.departed;
   return next;
 }
 
@@ -113,36 +168,86 @@
   return std::nullopt;
 }
 
+/// Why the claim of a notice can't be true; nothing when it can. Versions that did not ask endpoints believed
+/// all.
+std::optional<Plan> refused_claim(const PlanContext& context, const RegisterDatabase& registration) {
+  const Database& told = registration.database;
+  if (registration.endpoint_answer == EndpointAnswer::kNotAsked) {
+    return std::nullopt;
+  }
+  const bool has_routes = context.configuration.routes.version > 0;
+  if (has_routes && find(context.configuration.groups, registration.group) == nullptr) {
+    return refused(core::ErrorKind::kNotFound,
+                   "The table of routes names no group " + registration.group.value() + ".",
+                   "Name the group in the table; the database's next heartbeat registers it.");
+  }
+  const Group* holder = protocol::group_of(context.configuration, told.id);
+  if (holder != nullptr && holder->name != registration.group) {
+    return refused(core::ErrorKind::kConflict,
+                   "Database " + told.id.value() + " is a member of group " + holder->name.value() + ".",
+                   "Use another id in another group.");
+  }
+  const Database* known = holder == nullptr ? nullptr : protocol::find_database(*holder, told.id);
+  if (known != nullptr && known->born > 0 && told.born == 0) {
+    return refused(core::ErrorKind::kInvalidArgument,
+                   "Database " + told.id.value() + " does not say when it was born, as it did before.",
+                   "Send the birth with each heartbeat.");
+  }
+  if (registration.endpoint_answer == EndpointAnswer::kAnotherDatabase) {
+    return refused(
+        core::ErrorKind::kConflict,
+        "Another database answers at " + core::to_string(told.endpoint) + " than " + told.id.value() + ".",
+        "Send the endpoint at which the database itself answers.");
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
+bool needs_endpoint_answer(const Configuration& configuration, const RegisterDatabase& registration) {
+  const Database& told = registration.database;
+  const Group* group = find(configuration.groups, registration.group);
+  const Database* known = group == nullptr ? nullptr : protocol::find_database(*group, told.id);
+  return known == nullptr || known->endpoint != told.endpoint ||
+         !others_at_endpoint(configuration, told).empty();
+}
+
 Plan plan_one(const PlanContext& context, const RegisterDatabase& registration) {
   if (auto error = check(registration)) {
     return Plan{error, 0, std::nullopt};
   }
   const Database& told = registration.database;
-  if (is_removed(context, told)) {
+  const EndpointAnswer answer = registration.endpoint_answer;
+  const Group* current = find(context.configuration.groups, registration.group);
+  const Database* known = current == nullptr ? nullptr : protocol::find_database(*current, told.id);
+  if (is_late(context, registration, known)) {
     return unchanged(context.configuration.revision);
   }
   if (auto refusal = declared_by_operators(context.configuration, registration.group)) {
     return *refusal;
   }
+  if (auto refusal = refused_claim(context, registration)) {
+    return *refusal;
+  }
   Change change = next_change(context.configuration);
   Group& group = changed_group(context.configuration, change, registration.group);
-  const auto known = find_in(group.databases, told.id);
-  Database next;
-  if (known == group.databases.end()) {
-    next = new_member(told);
-    set_connection_limit(next, group.connection_limit);
+  Database next = known == nullptr ? new_member(context, told) : updated_member(*known, told, answer);
+  set_connection_limit(next, group.connection_limit);
+  const bool takes_a_place =
+      answer == EndpointAnswer::kThisDatabase && !others_at_endpoint(context.configuration, next).empty();
+  if (known != nullptr && says_the_same(next, *known) && !takes_a_place) {
+    return unchanged(context.configuration.revision);
+  }
+  if (known == nullptr) {
     group.databases.push_back(next);
   } else {
-    next = updated_member(*known, told);
-    set_connection_limit(next, group.connection_limit);
-    if (is_of_earlier_life(told.born, known->born) || says_the_same(next, *known)) {
-      return unchanged(context.configuration.revision);
-    }
-    *known = next;
+    *find_in(group.databases, told.id) = next;
+  }
+  if (takes_a_place) {
+    take_place_of_others(context.configuration, change, registration.group, next);
+  } else if (answer == EndpointAnswer::kNotAsked) {
+    drop_others_at_endpoint(context.configuration, change, next);
   }
-  drop_predecessors(context.configuration, change, next);
   return Plan{std::nullopt, context.configuration.revision, std::move(change)};
 }
 
--- a/src/configuration/state_machine.cpp
+++ b/src/configuration/state_machine.cpp
@@ -59,11 +59,18 @@
   return first;
 }
 
+PlanContext StateMachine::context_for(const Operation& operation, Revision expected) const {
+  return PlanContext{state_.configuration, expected, promoted_members_for(operation),
+                     &state_.removed_databases, &state_.removed_births};
+}
+
+Plan StateMachine::plan(const Operation& operation) const {
+  return configuration::plan(context_for(operation, 0), operation);
+}
+
 CommandResult StateMachine::execute(const Command& command) {
-  const PlanContext context{state_.configuration, command.expected_revision,
-                            promoted_members_for(command.operation), &state_.removed_databases,
-                            &state_.removed_births};
-  const Plan planned = plan(context, command.operation);
+  const Plan planned =
+      configuration::plan(context_for(command.operation, command.expected_revision), command.operation);
   CommandResult result;
   result.error = planned.error;
   result.current_revision = planned.current_revision;
@@ -82,10 +89,10 @@
 
 void StateMachine::accept(const Command& command, const Change& change) {
   if (const auto* registration = std::get_if<RegisterDatabase>(&command.operation)) {
-    remember_predecessors(registration->database);
+    remember_removals(change);
     forget_removal(registration->database.id);
-  } else if (const auto* removal = std::get_if<RemoveDatabase>(&command.operation)) {
-    remember_removal(*protocol::find_database(state_.configuration, removal->database));
+  } else if (std::holds_alternative<RemoveDatabase>(command.operation)) {
+    remember_removals(change);
   }
   protocol::apply(state_.configuration, change);
   keep_change(change);
@@ -106,11 +113,14 @@
 
 // A heartbeat that a cut has delayed may arrive after its sender has crashed and another database has taken
 // the address: it must not put the sender back in its successor's place.
-void StateMachine::remember_predecessors(const protocol::Database& successor) {
-  for (const auto& [name, group] : state_.configuration.groups) {
-    for (const protocol::Database& database : group.databases) {
-      const bool replaced = database.endpoint == successor.endpoint && database.id != successor.id;
-      if (replaced && group.self_registered) {
+void StateMachine::remember_removals(const Change& change) {
+  for (const protocol::Group& next : change.groups) {
+    const auto current = state_.configuration.groups.find(next.name);
+    if (current == state_.configuration.groups.end()) {
+      continue;
+    }
+    for (const protocol::Database& database : current->second.databases) {
+      if (protocol::find_database(next, database.id) == nullptr) {
         remember_removal(database);
       }
     }
--- a/src/configuration/state_machine.hpp
+++ b/src/configuration/state_machine.hpp
@@ -58,6 +58,9 @@
   /// answered as a conflict.
   CommandResult apply(std::uint64_t index, const Command& command);
 
+  /// What an operation of control itself would do now.
+  [[nodiscard]] Plan plan(const Operation& operation) const;
+
   [[nodiscard]] const protocol::Configuration& configuration() const { return state_.configuration; }
   /// The route table in force as its author wrote it; empty before the first.
   [[nodiscard]] const std::string& route_document() const { return state_.route_document; }
@@ -95,13 +98,14 @@
   CommandResult execute(const Command& command);
   void accept(const Command& command, const protocol::Change& change);
   void remember_members(const CompletePrimaryChange& complete);
-  /// Before a registration is applied: the databases that it replaces have ended.
-  void remember_predecessors(const protocol::Database& successor);
+  /// Before a change of what databases say of themselves is applied: which of them it removes.
+  void remember_removals(const protocol::Change& change);
   void remember_removal(const protocol::Database& database);
   void forget_removal(const core::DatabaseId& database);
   void keep_change(const protocol::Change& change);
   void keep_answer(const core::RequestKey& key, std::uint64_t fingerprint, const CommandResult& result);
   [[nodiscard]] Members promoted_members_for(const Operation& operation) const;
+  [[nodiscard]] PlanContext context_for(const Operation& operation, protocol::Revision expected) const;
 
   Limits limits_;
   State state_;
--- a/src/control/database_calls.cpp
+++ b/src/control/database_calls.cpp
@@ -77,12 +77,26 @@
   boost::asio::co_spawn(io_, run_promote(std::move(call)), boost::asio::detached);
 }
 
-awaitable<void> HttpDatabaseCalls::run_probe(failover::ProbeDatabase call) {
+awaitable<std::optional<database::StatusAnswer>> HttpDatabaseCalls::ask_status(core::Endpoint endpoint) {
   http::Request request;
   request.path = "/v1/status";
   const auto response =
-      co_await send_request(io_, call.endpoint, std::move(request), timeouts_.connect, timeouts_.status);
-  const auto status = parse_answer<database::StatusAnswer>(response);
+      co_await send_request(io_, endpoint, std::move(request), timeouts_.connect, timeouts_.status);
+  co_return parse_answer<database::StatusAnswer>(response);
+}
+
+awaitable<configuration::EndpointAnswer> HttpDatabaseCalls::identify(failover::ProbeDatabase call) {
+  const auto status = co_await ask_status(call.endpoint);
+  if (!status) {
+    co_return configuration::EndpointAnswer::kNoAnswer;
+  }
+  const bool is_named = status->database == call.database && status->group == call.group;
+  co_return is_named ? configuration::EndpointAnswer::kThisDatabase
+                     : configuration::EndpointAnswer::kAnotherDatabase;
+}
+
+awaitable<void> HttpDatabaseCalls::run_probe(failover::ProbeDatabase call) {
+  const auto status = co_await ask_status(call.endpoint);
   // Another database may listen at this endpoint; its status must not be taken for the requested one's.
   if (status && status->database == call.database) {
     callbacks_.status(*status);
--- a/src/control/database_calls.hpp
+++ b/src/control/database_calls.hpp
@@ -7,8 +7,10 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "configuration/command.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "failover/effects.hpp"
@@ -45,6 +47,9 @@
   virtual void probe(failover::ProbeDatabase call) = 0;
   virtual void fence(failover::FenceDatabase call) = 0;
   virtual void promote(failover::PromoteDatabase call) = 0;
+
+  /// Asks which database is at an endpoint: that of the call, another one, or none that answers in time.
+  virtual boost::asio::awaitable<configuration::EndpointAnswer> identify(failover::ProbeDatabase call) = 0;
 };
 
 /// Creates the DatabaseCalls of a process, which report to the given callbacks.
@@ -59,8 +64,10 @@
   void probe(failover::ProbeDatabase call) override;
   void fence(failover::FenceDatabase call) override;
   void promote(failover::PromoteDatabase call) override;
+  boost::asio::awaitable<configuration::EndpointAnswer> identify(failover::ProbeDatabase call) override;
 
  private:
+  boost::asio::awaitable<std::optional<database::StatusAnswer>> ask_status(core::Endpoint endpoint);
   boost::asio::awaitable<void> run_probe(failover::ProbeDatabase call);
   boost::asio::awaitable<void> run_fence(failover::FenceDatabase call);
   boost::asio::awaitable<void> run_promote(failover::PromoteDatabase call);
--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -176,6 +176,12 @@
   co_return result;
 }
 
+boost::asio::awaitable<configuration::EndpointAnswer> LeaderDuties::identify(
+    const configuration::RegisterDatabase& registration) {
+  const protocol::Database& database = registration.database;
+  return calls_->identify(failover::ProbeDatabase{database.id, database.endpoint, registration.group});
+}
+
 void LeaderDuties::propose(const std::string& subject, configuration::Operation operation) {
   if (!proposals_in_progress_.emplace(subject, true).second) {
     return;
--- a/src/control/leader_duties.hpp
+++ b/src/control/leader_duties.hpp
@@ -50,6 +50,10 @@
   /// Removes a daemon that has drained and waits until the removal is committed.
   boost::asio::awaitable<core::Result<void>> on_departure(protocol::Departure departure);
 
+  /// Asks the endpoint that a database's notice names which database is there.
+  boost::asio::awaitable<configuration::EndpointAnswer> identify(
+      const configuration::RegisterDatabase& registration);
+
   /// Proposes a command that control itself has decided on. `subject` identifies what it changes: while a
   /// command for a subject is in progress, further ones are dropped, because the leader's tasks propose them
   /// again.
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "configuration/database_notice_plan.hpp"
 #include "configuration/plan.hpp"
 #include "control/control_id.hpp"
 #include "control/daemon_service.hpp"
@@ -26,6 +27,7 @@
 }
 
 constexpr std::uint32_t kOk = 200;
+constexpr core::Duration kRefusalLogInterval = std::chrono::seconds(1);
 
 void log_refused_routes(const core::Error& error) {
   logging::logger("control")->warn("event=routes_refused reason={}", logging::field(error.message));
@@ -104,9 +106,12 @@
   const auto log = logging::logger("control");
   if (const auto* registration = std::get_if<configuration::RegisterDatabase>(&operation)) {
     const protocol::Database& database = registration->database;
-    log->info("event=database_registered group={} database={} endpoint={} born={} draining={} revision={}",
-              registration->group.value(), database.id.value(), core::to_string(database.endpoint),
-              database.born, database.draining, answer.revision);
+    log->info(
+        "event=database_registered group={} database={} endpoint={} answered={} born={} draining={} "
+        "revision={}",
+        registration->group.value(), database.id.value(), core::to_string(database.endpoint),
+        registration->endpoint_answer == configuration::EndpointAnswer::kThisDatabase, database.born,
+        database.draining, answer.revision);
   } else if (const auto* departure = std::get_if<configuration::DepartDatabase>(&operation)) {
     log->info("event=database_departs database={} born={} revision={}", departure->database.value(),
               departure->born, answer.revision);
@@ -341,7 +346,14 @@
   if (!command) {
     co_return error_reply(command.error());
   }
-  const configuration::Operation notice = command.value().operation;
+  configuration::Operation& notice = command.value().operation;
+  if (auto* registration = std::get_if<configuration::RegisterDatabase>(&notice)) {
+    if (const auto refusal = co_await check_claim(*registration)) {
+      log_refused_notice(*registration, *refusal);
+      co_return error_reply(*refusal);
+    }
+  }
+  const configuration::Operation proposed = notice;
   const auto result = co_await replica_.propose(std::move(command.value()), timeouts_.proposal);
   if (!result) {
     co_return error_reply(result.error());
@@ -350,11 +362,41 @@
     co_return error_reply(*result.value().error);
   }
   if (result.value().changed) {
-    log_notice(notice, result.value());
+    log_notice(proposed, result.value());
   }
   co_return database_reply();
 }
 
+/// Asks the endpoint of a notice which database is there, where it matters, and returns why the notice can't
+/// be true. Nothing is proposed for one that can't: other writers may repeat theirs for ever.
+awaitable<std::optional<core::Error>> OperatorApi::check_claim(
+    configuration::RegisterDatabase& registration) {
+  const configuration::StateMachine& machine = replica_.machine();
+  if (auto refusal = machine.plan(registration).error) {
+    co_return refusal;
+  }
+  if (!configuration::needs_endpoint_answer(machine.configuration(), registration)) {
+    co_return std::nullopt;
+  }
+  registration.endpoint_answer = co_await duties_.identify(registration);
+  co_return machine.plan(registration).error;
+}
+
+/// Once a second at most: other writers may repeat theirs for ever.
+void OperatorApi::log_refused_notice(const configuration::RegisterDatabase& registration,
+                                     const core::Error& refusal) {
+  const core::Instant now = core::BootClock::now();
+  ++refused_notices_;
+  if (now < next_refusal_log_at_) {
+    return;
+  }
+  next_refusal_log_at_ = now + kRefusalLogInterval;
+  logging::logger("control")->warn(
+      "event=database_refused group={} database={} endpoint={} reason={} refused_since_start={}",
+      logging::field(registration.group.value()), logging::field(registration.database.id.value()),
+      core::to_string(registration.database.endpoint), logging::field(refusal.message), refused_notices_);
+}
+
 /// Replies without the leader to a notice that changes nothing, as most do. Returns nothing for any other
 /// request.
 std::optional<OperatorReply> OperatorApi::answer_unchanged_database(const OperatorRequest& request) const {
@@ -367,7 +409,10 @@
   }
   const configuration::PlanContext context{replica_.machine().configuration(), 0, {}};
   const configuration::Plan planned = configuration::plan(context, command.value().operation);
-  if (planned.error || planned.change) {
+  const auto* registration = std::get_if<configuration::RegisterDatabase>(&command.value().operation);
+  const bool must_ask = registration != nullptr && configuration::needs_endpoint_answer(
+                                                       replica_.machine().configuration(), *registration);
+  if (planned.error || planned.change || must_ask) {
     return std::nullopt;
   }
   return database_reply();
--- a/src/control/operator_api.hpp
+++ b/src/control/operator_api.hpp
@@ -59,6 +59,9 @@
   boost::asio::awaitable<Reply> put_routes(protocol::OperatorRequest request);
   boost::asio::awaitable<Reply> read_routes();
   boost::asio::awaitable<Reply> handle_database_notice(protocol::OperatorRequest request);
+  boost::asio::awaitable<std::optional<core::Error>> check_claim(
+      configuration::RegisterDatabase& registration);
+  void log_refused_notice(const configuration::RegisterDatabase& registration, const core::Error& refusal);
   [[nodiscard]] std::optional<Reply> answer_unchanged_database(
       const protocol::OperatorRequest& request) const;
   [[nodiscard]] Reply database_reply() const;
@@ -73,6 +76,8 @@
   ForwardToLeader forward_;
   CheckPolicy check_policy_;
   OperatorTimeouts timeouts_;
+  std::uint64_t refused_notices_ = 0;
+  core::Instant next_refusal_log_at_{};
 };
 
 /// Converts an error to a reply with its HTTP status and a JSON body.
--- a/src/control/route_json.cpp
+++ b/src/control/route_json.cpp
@@ -126,6 +126,7 @@
 configuration::Operation read_heartbeat(const core::DatabaseId& id, const json& value) {
   JsonFields fields(value, "body");
   configuration::RegisterDatabase registration;
+  registration.endpoint_answer = configuration::EndpointAnswer::kNoAnswer;
   registration.group = core::GroupName(fields.text("group"));
   registration.database.id = id;
   registration.database.endpoint = fields.endpoint("endpoint");
--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -75,7 +75,7 @@
 }
 
 void GroupCoordinator::tick(core::Instant now, const LastHeartbeats& last_heartbeats) {
-  if (group_.databases.empty()) {
+  if (group_.databases.empty() || !is_named()) {
     return;
   }
   if (should_probe()) {
@@ -119,6 +119,11 @@
   }
 }
 
+/// False for a group that only heartbeats name, perhaps of another writer: its databases are not to be used.
+bool GroupCoordinator::is_named() const {
+  return !group_.self_registered || group_.connection_limit > 0;
+}
+
 bool GroupCoordinator::can_fence_enough(core::Instant now, const core::DatabaseId& excluded) const {
   std::vector<FencedMember> reachable;
   for (const protocol::Database& database : group_.databases) {
--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -60,6 +60,7 @@
   [[nodiscard]] core::DatabaseId primary() const;
   [[nodiscard]] const protocol::Database* member(const core::DatabaseId& database) const;
 
+  [[nodiscard]] bool is_named() const;
   /// Whether enough members answer now for a change to succeed. `excluded`: a member that is not counted.
   [[nodiscard]] bool can_fence_enough(core::Instant now, const core::DatabaseId& excluded = {}) const;
   [[nodiscard]] bool is_semi_synchronous() const { return group_.sync_replicas > 0; }
--- a/tests/configuration/registry_test.cpp
+++ b/tests/configuration/registry_test.cpp
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "configuration/database_notice_plan.hpp"
 #include "configuration/registry_plan.hpp"
 #include "configuration/state_machine.hpp"
 #include "wire/codec.hpp"
@@ -53,6 +54,22 @@
     return registration;
   }
 
+  /// The same after the endpoint was asked.
+  static RegisterDatabase database_answered(const std::string& id, std::uint16_t port, EndpointAnswer answer,
+                                            std::uint64_t born = 0) {
+    RegisterDatabase registration = database_born(id, port, born);
+    registration.endpoint_answer = answer;
+    return registration;
+  }
+
+  [[nodiscard]] std::vector<std::string> members() const {
+    std::vector<std::string> ids;
+    for (const protocol::Database& database : plates().databases) {
+      ids.push_back(database.id.value());
+    }
+    return ids;
+  }
+
   [[nodiscard]] const protocol::Group& plates() const {
     return machine_.configuration().groups.at(core::GroupName("plates"));
   }
@@ -333,6 +350,121 @@
   EXPECT_TRUE(restored.apply(index_ + 2, Command{{}, 0, database_born("a", 9001, 200)}).changed);
 }
 
+// Acknowledged writes were lost: a heartbeat of another writer, of a group that no table names and at the
+// endpoint of a live replica, took that one out of its group, so that fences were counted without it.
+TEST_F(RegistryTest, AHeartbeatOfAGroupThatNoTableNamesChangesNothing) {
+  apply(database_answered("a", 9001, EndpointAnswer::kNoAnswer));
+  apply(table(1));
+  RegisterDatabase foreign = database_answered("agent", 9001, EndpointAnswer::kNoAnswer);
+  foreign.group = core::GroupName("inventory");
+  const CommandResult refused = apply(foreign);
+  ASSERT_TRUE(refused.error);
+  EXPECT_EQ(refused.error->kind, core::ErrorKind::kNotFound);
+  EXPECT_EQ(members(), std::vector<std::string>{"a"});
+  EXPECT_FALSE(machine_.configuration().groups.contains(core::GroupName("inventory")));
+}
+
+TEST_F(RegistryTest, AClaimThatNobodyConfirmsTakesNoMembersPlace) {
+  apply(table(1));
+  apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase));
+  apply(database_answered("agent", 9001, EndpointAnswer::kNoAnswer));
+  EXPECT_EQ(members(), (std::vector<std::string>{"a", "agent"})) << "one too few would lose writes";
+  EXPECT_TRUE(apply(database_answered("agent", 9001, EndpointAnswer::kAnotherDatabase)).error);
+  EXPECT_EQ(members(), (std::vector<std::string>{"a", "agent"}));
+  EXPECT_TRUE(apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase)).changed);
+  EXPECT_EQ(members(), std::vector<std::string>{"a"});
+  EXPECT_FALSE(apply(database_answered("agent", 9001, EndpointAnswer::kNoAnswer)).changed);
+  EXPECT_EQ(members(), std::vector<std::string>{"a"});
+}
+
+TEST_F(RegistryTest, ADatabaseThatAnswersTakesThePlaceOfItsPredecessor) {
+  apply(table(1));
+  apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase, 100));
+  apply(database_answered("a2", 9001, EndpointAnswer::kThisDatabase, 200));
+  EXPECT_EQ(members(), std::vector<std::string>{"a2"});
+  EXPECT_FALSE(apply(database_answered("a", 9001, EndpointAnswer::kNoAnswer, 100)).changed)
+      << "a heartbeat that a cut delayed";
+  EXPECT_EQ(members(), std::vector<std::string>{"a2"});
+}
+
+TEST_F(RegistryTest, OfTwoThatNobodyConfirmsTheOneBornLaterIsBelieved) {
+  apply(table(1));
+  apply(database_answered("a2", 9001, EndpointAnswer::kNoAnswer, 200));
+  EXPECT_FALSE(apply(database_answered("a", 9001, EndpointAnswer::kNoAnswer, 100)).changed);
+  EXPECT_EQ(members(), std::vector<std::string>{"a2"});
+}
+
+// Its log has not passed to the other group's database: until another member holds what it may have held, it
+// counts among those whose fences a change of primary needs.
+TEST_F(RegistryTest, AMemberWhoseEndpointAnotherGroupUsesHasDepartedAndCounts) {
+  PutRouteTable put = table(1);
+  put.table.groups.push_back(protocol::RoutedGroup{core::GroupName("frames"), 34, 1});
+  apply(put);
+  apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase));
+  RegisterDatabase other = database_answered("x", 9001, EndpointAnswer::kThisDatabase);
+  other.group = core::GroupName("frames");
+  EXPECT_TRUE(apply(other).changed);
+  ASSERT_EQ(members(), std::vector<std::string>{"a"});
+  EXPECT_TRUE(plates().databases[0].departed);
+  EXPECT_TRUE(plates().databases[0].draining);
+}
+
+TEST_F(RegistryTest, AMemberOfOneGroupJoinsNoOther) {
+  PutRouteTable put = table(1);
+  put.table.groups.push_back(protocol::RoutedGroup{core::GroupName("frames"), 34, 1});
+  apply(put);
+  apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase));
+  RegisterDatabase other = database_answered("a", 9002, EndpointAnswer::kThisDatabase);
+  other.group = core::GroupName("frames");
+  EXPECT_TRUE(apply(other).error);
+  EXPECT_TRUE(machine_.configuration().groups.at(core::GroupName("frames")).databases.empty());
+}
+
+TEST_F(RegistryTest, AMoveIsBelievedOnceTheDatabaseAnswersThere) {
+  apply(table(1));
+  apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase));
+  EXPECT_FALSE(apply(database_answered("a", 9002, EndpointAnswer::kNoAnswer)).changed);
+  EXPECT_TRUE(apply(database_answered("a", 9002, EndpointAnswer::kAnotherDatabase)).error);
+  EXPECT_EQ(plates().databases[0].endpoint.port, 9001);
+  EXPECT_TRUE(apply(database_answered("a", 9002, EndpointAnswer::kThisDatabase)).changed);
+  EXPECT_EQ(plates().databases[0].endpoint.port, 9002);
+}
+
+TEST_F(RegistryTest, ADatabaseThatWasRemovedAndStillAnswersCountsAgainAndTakesNoWork) {
+  apply(table(1));
+  apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase, 100));
+  apply(DepartDatabase{core::DatabaseId("a"), 100});
+  apply(RemoveDatabase{core::DatabaseId("a"), 100});
+  EXPECT_FALSE(apply(database_answered("a", 9001, EndpointAnswer::kNoAnswer, 100)).changed);
+  EXPECT_TRUE(apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase, 100)).changed);
+  ASSERT_EQ(members(), std::vector<std::string>{"a"});
+  EXPECT_TRUE(plates().databases[0].departed);
+  EXPECT_TRUE(plates().databases[0].draining);
+}
+
+TEST_F(RegistryTest, AHeartbeatThatLacksTheBirthOfItsDatabaseIsAnotherWriters) {
+  apply(table(1));
+  apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase, 100));
+  RegisterDatabase foreign = database_answered("a", 9001, EndpointAnswer::kNoAnswer);
+  foreign.database.draining = true;
+  EXPECT_TRUE(apply(foreign).error);
+  EXPECT_FALSE(plates().databases[0].draining);
+}
+
+TEST_F(RegistryTest, EndpointsAreAskedOfWhoJoinsMovesOrSharesOne) {
+  apply(table(1));
+  const auto must_ask = [&](const std::string& id, std::uint16_t port) {
+    return needs_endpoint_answer(machine_.configuration(),
+                                 database_answered(id, port, EndpointAnswer::kNoAnswer));
+  };
+  EXPECT_TRUE(must_ask("a", 9001));
+  apply(database_answered("a", 9001, EndpointAnswer::kThisDatabase));
+  EXPECT_FALSE(must_ask("a", 9001));
+  EXPECT_TRUE(must_ask("a", 9002));
+  apply(database_answered("b", 9001, EndpointAnswer::kNoAnswer));
+  EXPECT_TRUE(must_ask("a", 9001));
+}
+
 /// A copy of an array without its last elements, as versions that did not know them have written it.
 msgpack::object without_last(const msgpack::object& array, std::uint32_t count, msgpack::zone& zone) {
   msgpack::object copy(array, zone);
@@ -344,11 +476,14 @@
   msgpack::zone zone;
   const std::string packed = wire::pack(database("a", 9001));
   const auto handle = msgpack::unpack(packed.data(), packed.size());
-  msgpack::object registration(handle.get(), zone);
+  constexpr std::uint32_t kNewRegistrationFields = 1;
+  msgpack::object registration = without_last(handle.get(), kNewRegistrationFields, zone);
   constexpr std::uint32_t kNewDatabaseFields = 2;
   registration.via.array.ptr[1] = without_last(registration.via.array.ptr[1], kNewDatabaseFields, zone);
   apply(table(1));
-  EXPECT_TRUE(apply(registration.as<RegisterDatabase>()).changed);
+  const auto older_command = registration.as<RegisterDatabase>();
+  EXPECT_EQ(older_command.endpoint_answer, EndpointAnswer::kNotAsked);
+  EXPECT_TRUE(apply(older_command).changed);
   EXPECT_EQ(plates().databases[0].born, 0U);
 
   apply(DepartDatabase{core::DatabaseId("a"), 0});
--- a/tests/failover_logic/semi_synchronous_test.cpp
+++ b/tests/failover_logic/semi_synchronous_test.cpp
@@ -123,6 +123,7 @@
     group_.name = core::GroupName("g");
     group_.self_registered = true;
     group_.sync_replicas = 1;
+    group_.connection_limit = 34;
     std::uint16_t port = 7000;
     for (const char* id : {"a", "b", "c"}) {
       protocol::Database database;
@@ -178,6 +179,7 @@
   }
 
   void carry_out(const ProbeDatabase& probe) {
+    ++probes_;
     const Database& database = databases_[probe.database.value()];
     if (!database.reachable) {
       coordinator_.on_probe_failed(now_, probe.database);
@@ -250,6 +252,7 @@
   protocol::Configuration configuration_;
   protocol::Group group_;
   std::uint64_t births_ = 0;
+  std::size_t probes_ = 0;
   std::map<std::string, Database> databases_;
   std::vector<std::string> promoted_;
 };
@@ -260,6 +263,18 @@
   EXPECT_TRUE(promoted_.empty());
 }
 
+TEST_F(SemiSynchronousGroupTest, AGroupThatOnlyHeartbeatsNameIsNotUsed) {
+  group_.connection_limit = 0;
+  commit();
+  run(milliseconds(1000));
+  EXPECT_EQ(probes_, 0U) << "its databases may be another group's, or none";
+  EXPECT_EQ(primary(), "");
+  group_.connection_limit = 34;
+  commit();
+  run(milliseconds(500));
+  EXPECT_EQ(primary(), "a");
+}
+
 TEST_F(SemiSynchronousGroupTest, DeadPrimaryIsReplacedByTheMostUpToDateReplica) {
   run(milliseconds(500));
   databases_["a"].reachable = false;
--- a/tests/platform/control_requests_test.cpp
+++ b/tests/platform/control_requests_test.cpp
@@ -201,6 +201,35 @@
   EXPECT_TRUE(control::parse_database_notice("i-1/leave", bare->request.body).has_value());
 }
 
+// A state that isn't named passed for ready, and missing fields for none: another writer's heartbeat was
+// taken for a database's.
+TEST(ControlRequestsTest, HeartbeatsOfOtherWritersAreRefused) {
+  const auto whole = nlohmann::json::parse(
+      R"({"Service":"s","Address":"10.1.0.9:8080","Zone":"z","Slots":2,"State":"ready","born":5})");
+  const auto is_taken = [](const nlohmann::json& heartbeat) {
+    const auto call = translate_request(post("/Instances.Heartbeat/i-1", heartbeat.dump()));
+    return control::parse_database_notice("i-1/heartbeat", call->request.body).has_value();
+  };
+  EXPECT_TRUE(is_taken(whole));
+  for (const char* state : {R"("unknown")", R"("Ready")", R"("")", "null", "true", "1", R"(["draining"])"}) {
+    auto other = whole;
+    other["State"] = nlohmann::json::parse(state);
+    EXPECT_FALSE(is_taken(other)) << state;
+  }
+  for (const char* field : {"Service", "Address", "Zone", "Slots", "State"}) {
+    auto other = whole;
+    other.erase(field);
+    EXPECT_FALSE(is_taken(other)) << "without " << field;
+    other[field] = nlohmann::json::object();
+    EXPECT_FALSE(is_taken(other)) << field << " of another type";
+  }
+  for (const char* born : {R"("5")", "-5", "5.5", "null", "true"}) {
+    auto other = whole;
+    other["born"] = nlohmann::json::parse(born);
+    EXPECT_FALSE(is_taken(other)) << born;
+  }
+}
+
 TEST(ControlRequestsTest, BrokenHeartbeatsAreRefused) {
   for (const char* body : {"", "{", "[]", R"({"Service":1})", R"({"Service":"s","Address":"nowhere"})"}) {
     const auto call = translate_request(post("/Instances.Heartbeat/i-1", body));
--- a/tests/platform/database_lives_test.cpp
+++ b/tests/platform/database_lives_test.cpp
@@ -1,5 +1,6 @@
-// Databases that start again under their ids, on real processes: which of them control takes for holders of
-// acknowledged writes. Judged by the log of the database that is promoted.
+// Databases that start again under their ids, and heartbeats of other writers, on real processes: which
+// databases control takes for holders of acknowledged writes. Judged by the log of the database that is
+// promoted.
 #include <gtest/gtest.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -120,5 +121,47 @@
   expect_nothing_lost();
 }
 
+class OtherWritersTest : public DatabaseLivesTest {
+ protected:
+  /// Status of a heartbeat that names a replica's endpoint.
+  unsigned heartbeat_of_another(nlohmann::json heartbeat) {
+    heartbeat["Address"] = "127.0.0.1:" + std::to_string(database(kReturning).options().port);
+    return fleet_.call_control(0, "POST", "/Instances.Heartbeat/agent-41", heartbeat.dump()).first;
+  }
+
+  void expect_the_replica_is_asked_for_its_log() {
+    fleet_.pause(seconds(1));  // Heartbeats of the databases go on.
+    database(kDeaf).set_deaf(true);
+    write(30);
+    database(kPrimary).crash();
+    ASSERT_TRUE(wait_until_served());
+    expect_nothing_lost();
+  }
+};
+
+// Acknowledged writes were lost: one heartbeat of another writer took a live replica out of its group for
+// good.
+TEST_F(OtherWritersTest, AHeartbeatOfAnUnknownServiceEvictsNoReplica) {
+  const unsigned status = heartbeat_of_another({{"Service", "inventory"},
+                                                {"Zone", "stage"},
+                                                {"Version", "v0"},
+                                                {"Slots", 2},
+                                                {"State", "unknown"},
+                                                {"Seq", 1}});
+  EXPECT_GE(status, 400U) << "it names no database to use";
+  expect_the_replica_is_asked_for_its_log();
+}
+
+TEST_F(OtherWritersTest, AWellFormedHeartbeatAtAReplicasEndpointEvictsNoReplica) {
+  const unsigned status = heartbeat_of_another({{"Service", "plates"},
+                                                {"Zone", "stage"},
+                                                {"Version", "v0"},
+                                                {"Slots", 2},
+                                                {"State", "ready"},
+                                                {"Seq", 1}});
+  EXPECT_GE(status, 400U) << "another database answers at that endpoint";
+  expect_the_replica_is_asked_for_its_log();
+}
+
 }  // namespace
 }  // namespace pipitpond::platform
