A candidate that starts again is not ordered twice, and its order gets its time; databases that start again in virtual time

What was seen: tests/database_lives, new, plays control's own state machine and coordinator in virtual time against databases as PROTOCOL.md describes them, which crash, start again with or without their logs, leave, go deaf and are cut off, beside late heartbeats and other writers'.

What is ordered from the platform can't be taken back. Now the order gets its time (its answer or its time-out), no second order goes to the new life, which may lack the log that it was chosen for, and only then is another database fenced.

--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -27,6 +27,7 @@
   fence_quorum_since_.reset();
   failed_candidates_.clear();
   candidate_ = {};
+  candidate_started_again_ = false;
 }
 
 void GroupCoordinator::on_configuration(core::Instant now, const protocol::Group& group,
@@ -36,7 +37,7 @@
   group_ = group;
   owners_ = std::move(owners);
   probes_.set_members(now, group_);
-  on_started_again(now, returned);
+  on_started_again(returned);
   if (has_primary()) {
     if (phase_ != Phase::kSteady && last_term() >= proposed_term_) {
       enter_steady();
@@ -157,14 +158,11 @@
   return returned;
 }
 
-void GroupCoordinator::on_started_again(core::Instant now, const std::set<core::DatabaseId>& databases) {
+void GroupCoordinator::on_started_again(const std::set<core::DatabaseId>& databases) {
   for (const core::DatabaseId& database : databases) {
     fences_.erase(database);  // A new life has forgotten the fence.
   }
-  const bool promotion_ordered = phase_ == Phase::kPromoting || phase_ == Phase::kCompleting;
-  if (promotion_ordered && databases.contains(candidate_)) {
-    abandon_candidate(now);  // It was chosen for a log that it may have lost.
-  }
+  candidate_started_again_ = candidate_started_again_ || databases.contains(candidate_);
 }
 
 // --- Begin a term ------------------------------------------------------------------------------------------
@@ -293,6 +291,7 @@
     return;
   }
   candidate_ = *chosen;
+  candidate_started_again_ = false;
   phase_ = Phase::kPromoting;
   phase_since_ = now;
   promote_sent_.reset();
@@ -310,7 +309,10 @@
     return;
   }
   const protocol::Database* chosen = member(candidate_);
-  if (promote_attempts_ >= kPromoteAttempts || chosen == nullptr) {
+  // It was chosen for a log that it may have lost. What has been ordered may still take effect, so another
+  // database is fenced only once that has had its time.
+  const bool may_lack_its_log = candidate_started_again_ && promote_attempts_ > 0;
+  if (promote_attempts_ >= kPromoteAttempts || chosen == nullptr || may_lack_its_log) {
     abandon_candidate(now);
     return;
   }
--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -79,7 +79,7 @@
 
   void enter_steady();
   [[nodiscard]] std::set<core::DatabaseId> started_again(const protocol::Group& next) const;
-  void on_started_again(core::Instant now, const std::set<core::DatabaseId>& databases);
+  void on_started_again(const std::set<core::DatabaseId>& databases);
   void begin(core::Instant now, bool planned);
   void propose_begin(core::Instant now);
   void start_quiescing(core::Instant now);
@@ -115,6 +115,7 @@
   std::optional<core::Instant> fence_quorum_since_;
   std::set<core::DatabaseId> failed_candidates_;  ///< Candidates whose promotion failed during this change.
   core::DatabaseId candidate_;
+  bool candidate_started_again_ = false;  ///< Since it was chosen.
   std::optional<core::Instant> promote_sent_;
   std::optional<core::Instant> promote_failed_;
   std::uint32_t promote_attempts_ = 0;
--- /dev/null
+++ b/tests/database_lives/database_lives_test.cpp
@@ -0,0 +1,69 @@
+// Seeds of the model. Each is a run of a minute in virtual time.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <sstream>
+
+#include "database_lives/model.hpp"
+
+namespace pipitpond::database_lives {
+namespace {
+
+/// Seeds that a test plays, both ends included.
+struct SeedRange {
+  std::uint64_t first = 0;
+  std::uint64_t last = 0;
+};
+
+constexpr std::chrono::seconds kLength(60);
+constexpr SeedRange kSeeds{1, 50};
+
+void play(std::uint64_t seed, const ModelOptions& options) {
+  Model model(seed, options);
+  model.run(kLength);
+  for (const std::string& line : model.broken()) {
+    ADD_FAILURE() << "seed " << seed << ": " << line;
+  }
+  EXPECT_GT(model.acknowledged(), 100U) << "seed " << seed;
+  EXPECT_GT(model.promotions() + model.logs_lost(), 0U) << "seed " << seed;
+  if (::testing::Test::HasFailure()) {
+    for (const std::string& line : model.story()) {
+      std::cout << line << "\n";
+    }
+  }
+}
+
+/// These seeds, or those that PIPITPOND_LIVES_SEEDS="FIRST LAST" names.
+void play_seeds(const ModelOptions& options, SeedRange seeds = kSeeds) {
+  if (const char* range = std::getenv("PIPITPOND_LIVES_SEEDS")) {
+    std::istringstream(range) >> seeds.first >> seeds.last;
+  }
+  for (std::uint64_t seed = seeds.first; seed <= seeds.last && !::testing::Test::HasFailure(); ++seed) {
+    play(seed, options);
+  }
+}
+
+// Acknowledged writes were lost when a database started again under its id, or another writer named its
+// endpoint.
+TEST(DatabaseLivesModel, NoPromotionLosesAnAcknowledgedWriteInGroupsOfThree) {
+  play_seeds(ModelOptions{3, false, false});
+}
+
+TEST(DatabaseLivesModel, NoPromotionLosesAnAcknowledgedWriteInGroupsOfFive) {
+  play_seeds(ModelOptions{5, false, false});
+}
+
+// A promotion that an earlier leader ordered took effect while the next leader had another database promoted.
+TEST(DatabaseLivesModel, NoPromotionLosesAnAcknowledgedWriteWhileLeadersOfControlChange) {
+  play_seeds(ModelOptions{3, true, false});
+}
+
+// A replica that started again after it was held received from the old primary once more before the promotion
+// took effect.
+TEST(DatabaseLivesModel, NoPromotionLosesAnAcknowledgedWriteThoughHeldReplicasStartAgain) {
+  play_seeds(ModelOptions{3, false, true}, SeedRange{101, 150});
+}
+
+}  // namespace
+}  // namespace pipitpond::database_lives
--- /dev/null
+++ b/tests/database_lives/model.hpp
@@ -0,0 +1,113 @@
+// One semi-synchronous group in virtual time, under control's own state machine and coordinator. Its
+// databases crash, start again under their ids with or without their logs, leave as planned, go deaf and are
+// cut off, and heartbeats come late or from other writers. Judged is that each database that is promoted
+// holds every acknowledged write, and that the group is served again once all faults have ended.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "configuration/state_machine.hpp"
+#include "core/clock.hpp"
+#include "database_lives/model_database.hpp"
+#include "failover/coordinator.hpp"
+
+namespace pipitpond::database_lives {
+
+/// What a run plays.
+struct ModelOptions {
+  int databases = 3;
+  bool leader_changes = false;  ///< Control's leader changes, also during a change of primary.
+  bool held_restart = false;    ///< Also databases that are held end and start again, which ends their hold.
+};
+
+/// A run, drawn by its seed. Never takes the last copy of an acknowledged write away: it can always be kept.
+class Model {
+ public:
+  Model(std::uint64_t seed, ModelOptions options);
+
+  /// Plays faults, ends them all, and waits until writes are acknowledged again.
+  void run(core::Duration length);
+
+  /// Broken promises: one line each.
+  [[nodiscard]] const std::vector<std::string>& broken() const { return broken_; }
+  /// What happened: one line each.
+  [[nodiscard]] const std::vector<std::string>& story() const { return story_; }
+  [[nodiscard]] std::size_t promotions() const { return promotions_; }
+  [[nodiscard]] std::size_t logs_lost() const { return logs_lost_; }
+  [[nodiscard]] std::size_t acknowledged() const { return acknowledged_total_; }
+
+ private:
+  using Action = std::function<void()>;
+
+  // Time.
+  void step();
+  void at(core::Duration delay, Action action);
+  core::Duration draw_between(int least_ms, int most_ms);
+  bool one_in(std::uint64_t count) { return random_() % count == 0; }
+  void tell(const std::string& what);
+  [[nodiscard]] std::uint64_t now_ms() const;
+
+  // Databases (model_databases.cpp).
+  void write_and_replicate();
+  void replicate_from(ModelDatabase& primary);
+  [[nodiscard]] bool reaches_newer_primary(const ModelDatabase& replica, core::Term term) const;
+  void retire_replaced_primaries();
+  void promote(const failover::PromoteDatabase& call);
+  void judge_promoted(const ModelDatabase& database);
+  [[nodiscard]] bool is_last_copy(const ModelDatabase& database) const;
+  ModelDatabase& find(const core::DatabaseId& id);
+  ModelDatabase& draw_database() { return databases_[random_() % databases_.size()]; }
+
+  // Control.
+  configuration::CommandResult apply(configuration::Operation operation);
+  void take_notice(configuration::RegisterDatabase registration);
+  configuration::EndpointAnswer identify(const configuration::RegisterDatabase& registration) const;
+  void send_heartbeats();
+  [[nodiscard]] configuration::RegisterDatabase heartbeat_of(const ModelDatabase& database) const;
+  void report_suspicions();
+  void carry_out(const failover::ProbeDatabase& probe);
+  void carry_out(const failover::FenceDatabase& fence);
+  void carry_out(const failover::PromoteDatabase& promote);
+  void carry_out(const failover::ProposeBeginPrimaryChange& begin);
+  void carry_out(const failover::ProposeCompletePrimaryChange& complete);
+  void carry_out(const failover::ProposeAdoptPrimary& adopt);
+  void carry_out(const failover::ProposeRemoveDatabase& remove);
+  void carry_out(const failover::ProposeProveDatabaseLog& proof);
+
+  // Faults (model_faults.cpp).
+  void begin_fault();
+  void crash(ModelDatabase& database);
+  void start_again(ModelDatabase& database);
+  [[nodiscard]] bool may_end(const ModelDatabase& database) const;
+  void leave_and_return(ModelDatabase& database);
+  void end_as_planned(ModelDatabase& database);
+  void hinder(ModelDatabase& database, bool ModelDatabase::*hindrance, const std::string& what);
+  void send_foreign_heartbeat();
+  void change_leader();
+  void end_faults();
+
+  std::mt19937_64 random_;
+  ModelOptions options_;
+  core::Instant now_ = core::Instant(std::chrono::hours(1));
+  core::Instant next_fault_;
+  std::multimap<core::Instant, Action> due_;
+  std::vector<ModelDatabase> databases_;
+  std::map<core::DatabaseId, bool> hit_;  ///< Databases with a fault under way.
+  configuration::StateMachine machine_;
+  std::uint64_t log_index_ = 0;
+  failover::Coordinator coordinator_;
+  Write last_write_ = 0;
+  std::vector<Write> acknowledged_;  ///< That no promotion has lost.
+  std::size_t acknowledged_total_ = 0;
+  std::size_t promotions_ = 0;
+  std::size_t logs_lost_ = 0;
+  std::vector<std::string> broken_;
+  std::vector<std::string> story_;
+};
+
+}  // namespace pipitpond::database_lives
--- a/tests/failover_logic/semi_synchronous_test.cpp
+++ b/tests/failover_logic/semi_synchronous_test.cpp
@@ -171,6 +171,10 @@
       if (!primary().empty()) {
         suspect("a", primary() == "a" ? suspecting_daemons : 0, suspicion);
       }
+      if (failing_ && now_ >= fails_at_) {
+        coordinator_.on_promote_failed(now_, failing_->group, failing_->database, failing_->term);
+        failing_.reset();
+      }
       coordinator_.tick(now_);
       for (const Effect& effect : coordinator_.take_effects()) {
         std::visit([this](const auto& one) { carry_out(one); }, effect);
@@ -205,6 +209,11 @@
   }
   void carry_out(const PromoteDatabase& promote) {
     promoted_.push_back(promote.database.value());
+    if (promotions_fail_) {
+      failing_ = promote;
+      fails_at_ = now_ + promotions_take_;
+      return;
+    }
     databases_[promote.database.value()].primary = true;
     coordinator_.on_promote_answer(now_, promote.group,
                                    database::PromoteAnswer{promote.database, promote.term,
@@ -251,6 +260,10 @@
   Coordinator coordinator_;
   protocol::Configuration configuration_;
   protocol::Group group_;
+  bool promotions_fail_ = false;
+  core::Duration promotions_take_{};
+  std::optional<PromoteDatabase> failing_;
+  core::Instant fails_at_;
   std::uint64_t births_ = 0;
   std::size_t probes_ = 0;
   std::map<std::string, Database> databases_;
@@ -436,19 +449,24 @@
   EXPECT_FALSE(member("b").log_unproven);
 }
 
-TEST_F(SemiSynchronousGroupTest, ACandidateThatStartsAgainDuringItsPromotionIsAbandoned) {
+// The order may still take effect, and the new primary's writes would be lost with it.
+TEST_F(SemiSynchronousGroupTest, ACandidateThatStartsAgainIsNotOrderedTwiceAndItsOrderGetsItsTime) {
   run(milliseconds(500));
   databases_["a"].reachable = false;
   databases_["b"].received = {1, 60};
-  revision_applied_ = false;  // The promotion stays uncommitted.
-  run(milliseconds(2000), 4);
-  ASSERT_EQ(promoted_.back(), "b");
+  promotions_fail_ = true;
+  promotions_take_ = milliseconds(1500);
+  run(milliseconds(1000), 4);
+  ASSERT_EQ(promoted_, std::vector<std::string>{"b"});
   start_again("b", {});
-  revision_applied_ = true;
   databases_["a"].reachable = true;
   databases_["a"].received = {1, 60};
-  run(milliseconds(3000), 4);
-  EXPECT_EQ(promoted_.back(), "a");
+  const core::Term term = group_.terms.back().term;
+  run(milliseconds(300));
+  EXPECT_EQ(group_.terms.back().term, term) << "the order is still under way";
+  promotions_fail_ = false;
+  run(milliseconds(5000));
+  EXPECT_EQ(promoted_, (std::vector<std::string>{"b", "a"}));
   EXPECT_EQ(primary(), "a");
 }
 
