No heartbeat costs a revision or an entry of the log while an endpoint is shared

Now a member that has departed from another group is no longer displaced or asked about, and a registration that changes nothing is answered without a proposal, as any replica does for the usual ones.

RegistryTest.AMemberWhoseEndpointAnotherGroupUsesHasDepartedAndCounts asks for it: its second heartbeat changed the configuration before. configuration_test, control_test and the 24 cases of platform_test on real processes that concern it pass.

--- a/src/configuration/database_notice_plan.cpp
+++ b/src/configuration/database_notice_plan.cpp
@@ -66,13 +66,25 @@
   }
 }
 
-/// The database has answered at its endpoint, so the others that were known there have ended.
-void take_place_of_others(const Configuration& configuration, Change& change,
-                          const core::GroupName& own_group, const Database& database) {
-  for (const Database* other : others_at_endpoint(configuration, database)) {
-    const Group* holder = protocol::group_of(configuration, other->id);
+/// Members that have ended if the database is at its endpoint. One of another group is known to have once it
+/// has departed.
+std::vector<const Database*> displaced_members(const Configuration& configuration,
+                                               const core::GroupName& own_group, const Database& database) {
+  std::vector<const Database*> displaced = others_at_endpoint(configuration, database);
+  std::erase_if(displaced, [&](const Database* other) {
+    return other->departed && protocol::group_of(configuration, other->id)->name != own_group;
+  });
+  return displaced;
+}
+
+/// The log of a member of the same group has passed to the database that took its place. A member of another
+/// group takes its log along, so it counts until that is no longer needed.
+void displace(const Configuration& configuration, Change& change, const core::GroupName& own_group,
+              const std::vector<const Database*>& displaced) {
+  for (const Database* member : displaced) {
+    const Group* holder = protocol::group_of(configuration, member->id);
     std::vector<Database>& members = changed_group(configuration, change, holder->name).databases;
-    const auto ended = find_in(members, other->id);
+    const auto ended = find_in(members, member->id);
     if (holder->name == own_group) {
       members.erase(ended);
     } else {
@@ -140,8 +152,8 @@
 
 Database new_member(const PlanContext& context, const Database& told) {
   Database next = told;
-  next.log_unproven = false;  // No write has been acknowledged for being in its log.
-  // The life that was removed goes on, out of control's sight until now. It had announced its end.
+  next.log_unproven = false;  // So far no write counts as acknowledged because of its log.
+  // A removed life that still answers had announced its end, and was out of control's sight since.
   next.departed = is_removed(context, told);
   next.draining = told.draining || next.departed;
   return next;
@@ -209,7 +221,7 @@
   const Group* group = find(configuration.groups, registration.group);
   const Database* known = group == nullptr ? nullptr : protocol::find_database(*group, told.id);
   return known == nullptr || known->endpoint != told.endpoint ||
-         !others_at_endpoint(configuration, told).empty();
+         !displaced_members(configuration, registration.group, told).empty();
 }
 
 Plan plan_one(const PlanContext& context, const RegisterDatabase& registration) {
@@ -233,9 +245,11 @@
   Group& group = changed_group(context.configuration, change, registration.group);
   Database next = known == nullptr ? new_member(context, told) : updated_member(*known, told, answer);
   set_connection_limit(next, group.connection_limit);
-  const bool takes_a_place =
-      answer == EndpointAnswer::kThisDatabase && !others_at_endpoint(context.configuration, next).empty();
-  if (known != nullptr && says_the_same(next, *known) && !takes_a_place) {
+  std::vector<const Database*> displaced;
+  if (answer == EndpointAnswer::kThisDatabase) {
+    displaced = displaced_members(context.configuration, registration.group, next);
+  }
+  if (known != nullptr && says_the_same(next, *known) && displaced.empty()) {
     return unchanged(context.configuration.revision);
   }
   if (known == nullptr) {
@@ -243,9 +257,8 @@
   } else {
     *find_in(group.databases, told.id) = next;
   }
-  if (takes_a_place) {
-    take_place_of_others(context.configuration, change, registration.group, next);
-  } else if (answer == EndpointAnswer::kNotAsked) {
+  displace(context.configuration, change, registration.group, displaced);
+  if (answer == EndpointAnswer::kNotAsked) {
     drop_others_at_endpoint(context.configuration, change, next);
   }
   return Plan{std::nullopt, context.configuration.revision, std::move(change)};
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -348,9 +348,13 @@
   }
   configuration::Operation& notice = command.value().operation;
   if (auto* registration = std::get_if<configuration::RegisterDatabase>(&notice)) {
-    if (const auto refusal = co_await check_claim(*registration)) {
-      log_refused_notice(*registration, *refusal);
-      co_return error_reply(*refusal);
+    const configuration::Plan planned = co_await plan_registration(*registration);
+    if (planned.error) {
+      log_refused_notice(*registration, *planned.error);
+      co_return error_reply(*planned.error);
+    }
+    if (!planned.change) {
+      co_return database_reply();
     }
   }
   const configuration::Operation proposed = notice;
@@ -367,19 +371,19 @@
   co_return database_reply();
 }
 
-/// Asks the endpoint of a notice which database is there, where it matters, and returns why the notice can't
-/// be true. Nothing is proposed for one that can't: other writers may repeat theirs for ever.
-awaitable<std::optional<core::Error>> OperatorApi::check_claim(
-    configuration::RegisterDatabase& registration) {
+/// Asks the endpoint of a notice which database is there, where it matters, and returns what the notice then
+/// comes to. One that is refused or changes nothing is not proposed: other writers may repeat theirs for
+/// ever.
+awaitable<configuration::Plan> OperatorApi::plan_registration(configuration::RegisterDatabase& registration) {
   const configuration::StateMachine& machine = replica_.machine();
-  if (auto refusal = machine.plan(registration).error) {
-    co_return refusal;
-  }
-  if (!configuration::needs_endpoint_answer(machine.configuration(), registration)) {
-    co_return std::nullopt;
-  }
-  registration.endpoint_answer = co_await duties_.identify(registration);
-  co_return machine.plan(registration).error;
+  configuration::Plan planned = machine.plan(registration);
+  const bool must_ask =
+      !planned.error && configuration::needs_endpoint_answer(machine.configuration(), registration);
+  if (must_ask) {
+    registration.endpoint_answer = co_await duties_.identify(registration);
+    planned = machine.plan(registration);
+  }
+  co_return planned;
 }
 
 /// Once a second at most: other writers may repeat theirs for ever.
--- a/src/control/operator_api.hpp
+++ b/src/control/operator_api.hpp
@@ -59,7 +59,7 @@
   boost::asio::awaitable<Reply> put_routes(protocol::OperatorRequest request);
   boost::asio::awaitable<Reply> read_routes();
   boost::asio::awaitable<Reply> handle_database_notice(protocol::OperatorRequest request);
-  boost::asio::awaitable<std::optional<core::Error>> check_claim(
+  boost::asio::awaitable<configuration::Plan> plan_registration(
       configuration::RegisterDatabase& registration);
   void log_refused_notice(const configuration::RegisterDatabase& registration, const core::Error& refusal);
   [[nodiscard]] std::optional<Reply> answer_unchanged_database(
--- a/tests/configuration/registry_test.cpp
+++ b/tests/configuration/registry_test.cpp
@@ -407,6 +407,8 @@
   ASSERT_EQ(members(), std::vector<std::string>{"a"});
   EXPECT_TRUE(plates().databases[0].departed);
   EXPECT_TRUE(plates().databases[0].draining);
+  EXPECT_FALSE(apply(other).changed) << "no heartbeat may cost a revision for as long as both are known";
+  EXPECT_FALSE(needs_endpoint_answer(machine_.configuration(), other));
 }
 
 TEST_F(RegistryTest, AMemberOfOneGroupJoinsNoOther) {
--- a/tools/platform_stage/service.hpp
+++ b/tools/platform_stage/service.hpp
@@ -52,8 +52,8 @@
   [[nodiscard]] const std::vector<Promotion>& promotions() const { return promotions_; }
   /// From the next heartbeat of its life on, the database says that it is draining.
   void drain(std::size_t number) { draining_.insert(databases_.at(number)->options().id); }
-  /// A database that has said that it drains says that it leaves, and ends once that is acknowledged, unless it
-  /// has ended before.
+  /// A database that has said that it drains says that it leaves, and ends once that is acknowledged, unless
+  /// it has ended before.
   boost::asio::awaitable<void> leave(std::size_t number);
   /// Starts a database that has ended under its id again: a new life that holds nothing of before.
   void start_again(std::size_t number);
