--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -56,11 +56,19 @@
     return;
   }
   running_ = true;
+  log_state_read();
   notified_revision_ = machine_.configuration().revision;
   events_.configuration_changed(machine_.configuration());
   schedule_processing();
 }
 
+void Replica::log_state_read() const {
+  const raft::Log& log = node_.log();
+  logging::logger("control")->info("event=log_read snapshot={}.{} last={}.{} term={} commit={}",
+                                   log.snapshot().term, log.snapshot().index, log.last().term,
+                                   log.last().index, node_.term(), node_.commit_index());
+}
+
 void Replica::stop() {
   running_ = false;
   timer_.cancel();
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -102,6 +102,8 @@
   bool retry_unpersisted_ready();
   void apply(const raft::Entry& entry);
   void restore(const raft::Snapshot& snapshot);
+  /// Tells what earlier lives have left from what they lost.
+  void log_state_read() const;
   void detect_leadership_loss();
   void detect_leadership_gain();
   void log_new_candidacy();
