Tests of real processes can take away what was not synced

No play of ours on real processes lost a write that was not synced: signals leave all that was written. A library that is preloaded into daemons keeps what each sync covered, of files and of the folder; PlatformFleet lays it back as a loss of power would: unsynced bytes are gone, torn, zero or there, drawn by a seed, names are those of the last sync that covered them. slow_disk() moved from the soak to the fleet, for a replica can only be killed in the midst of a sync that takes its time.

--- a/tests/platform_support/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -152,13 +152,18 @@
   return {control_address(number), control_internal_port_};
 }
 
+std::filesystem::path PlatformFleet::sync_delay_file(const Member& member) {
+  return member.settings.string() + ".sync";
+}
+
 void PlatformFleet::write_control(std::size_t number, const std::string& seeds, std::uint16_t internal) {
   Member& member = controls_[number];
   member.settings = control_settings(number);
+  member.data = data_folder(number);
   std::ofstream file(member.settings);
   file << "[node]\nid = \"" << control_address(number) << "\"\n"
        << "[cluster]\nseeds = [" << seeds << "]\n"
-       << "[data]\nfolder = \"" << (folder_ / ("data-" + std::to_string(number))).string() << "\"\n"
+       << "[data]\nfolder = \"" << member.data.string() << "\"\n"
        << "[listen]\nhttp = \"" << core::to_string(member.http) << "\"\ninternal = \""
        << control_address(number) << ":" << internal << "\"\n"
        << "[promotion]\nendpoint = \"" << core::to_string(promotion_) << "\"\n"
@@ -204,7 +209,8 @@
   return {{"LD_PRELOAD", library},
           {"SOAK_CLOCK_SHIFT_MS", std::to_string(clock_shift_.count())},
           {"SOAK_LINKS_FILE", member.settings.string() + ".links"},
-          {"SOAK_SYNC_DELAY_FILE", member.settings.string() + ".sync"}};
+          {"SOAK_SYNC_DELAY_FILE", sync_delay_file(member).string()},
+          {"SOAK_SYNCED_FOLDER", member.data.string()}};
 }
 
 std::vector<std::filesystem::path> PlatformFleet::logs() const {
@@ -247,7 +253,29 @@
 
 void PlatformFleet::lose_disk(std::size_t control) {
   std::error_code ignored;
-  std::filesystem::remove_all(folder_ / ("data-" + std::to_string(control)), ignored);
+  std::filesystem::remove_all(data_folder(control), ignored);
+  std::filesystem::remove_all(synced_folder(data_folder(control)), ignored);
+}
+
+void PlatformFleet::lose_unsynced(std::size_t control, const UnsyncedFate& fate) {
+  platform::lose_unsynced(data_folder(control), fate);
+}
+
+bool PlatformFleet::has_unsynced(std::size_t control) const {
+  return platform::has_unsynced(data_folder(control));
+}
+
+void PlatformFleet::slow_disk(std::size_t control, milliseconds delay) {
+  const std::filesystem::path file = sync_delay_file(controls_.at(control));
+  if (delay.count() == 0) {
+    std::filesystem::remove(file);
+    return;
+  }
+  std::ofstream(file) << delay.count();
+}
+
+std::filesystem::path PlatformFleet::data_folder(std::size_t control) const {
+  return folder_ / ("data-" + std::to_string(control));
 }
 
 void PlatformFleet::restart_proxy(std::size_t number) {
--- a/tests/platform_support/platform_fleet.hpp
+++ b/tests/platform_support/platform_fleet.hpp
@@ -15,6 +15,7 @@
 #include "http/message.hpp"
 #include "platform_stage/service.hpp"
 #include "platform_support/platform_caller.hpp"
+#include "platform_support/power_loss.hpp"
 #include "process/child.hpp"
 
 namespace pipitpond::platform {
@@ -72,6 +73,14 @@
   void restart_proxy(std::size_t number);
   /// Removes a control replica's data. It must not run.
   void lose_disk(std::size_t control);
+  /// Takes from a control replica's disk what was not synced. It must not run; with the library of
+  /// tests/soak/preload only.
+  void lose_unsynced(std::size_t control, const UnsyncedFate& fate = {});
+  /// Whether a loss of power would take anything from a control replica's disk; with that library only.
+  [[nodiscard]] bool has_unsynced(std::size_t control) const;
+  /// Each sync of a control replica's disk takes so much longer, also one under way; zero ends that. With the
+  /// library of tests/soak/preload only.
+  void slow_disk(std::size_t control, std::chrono::milliseconds delay);
   /// Processes that are started from now on have a time of day that is off by so much; see
   /// tests/soak/preload.
   void set_clock_shift(std::chrono::milliseconds shift) { clock_shift_ = shift; }
@@ -101,6 +110,7 @@
  private:
   struct Member {
     std::filesystem::path settings;
+    std::filesystem::path data;  ///< Of control only.
     std::unique_ptr<process::Child> child;
     core::Instant started;
     core::Endpoint http;
@@ -109,10 +119,13 @@
   };
 
   void print_last_lines() const;
+  [[nodiscard]] std::filesystem::path data_folder(std::size_t control) const;
   void make_settings(int controls, int proxies);
   [[nodiscard]] std::string seeds_of(const std::vector<std::size_t>& controls) const;
   void write_control(std::size_t number, const std::string& seeds, std::uint16_t internal);
   void write_proxy(std::size_t number, const std::string& seeds);
+  /// Read by the library that the soak preloads; see tests/soak/preload.
+  [[nodiscard]] static std::filesystem::path sync_delay_file(const Member& member);
   /// Variables of the library that the soak preloads into each process; see tests/soak/preload.
   [[nodiscard]] std::map<std::string, std::string> preload_environment(const Member& member) const;
   void start(Member& member, const char* program, const std::vector<std::string>& more = {});
--- a/tests/soak/preload/slow_disk.cpp
+++ b/tests/soak/preload/slow_disk.cpp
@@ -1,5 +1,6 @@
 // Preloaded by the soak into daemons that it starts: each sync of a file takes as many milliseconds more as
-// the file of SOAK_SYNC_DELAY_FILE says, and ends early when that file is removed.
+// the file of SOAK_SYNC_DELAY_FILE says, and ends early when that file is removed. What was synced is kept,
+// see synced_files.cpp.
 #include <fcntl.h>
 #include <sys/syscall.h>
 #include <unistd.h>
@@ -8,6 +9,8 @@
 #include <cstdlib>
 #include <ctime>
 
+#include "soak/preload/synced_files.hpp"
+
 namespace {
 
 constexpr long kNanosPerMilli = 1'000'000;
@@ -33,5 +36,9 @@
   for (long waited = 0; waited < delay_millis(); waited += kPollMillis) {
     ::nanosleep(&poll, nullptr);
   }
-  return static_cast<int>(syscall(SYS_fsync, descriptor));
+  const auto result = static_cast<int>(syscall(SYS_fsync, descriptor));
+  if (result == 0) {
+    pipitpond::preload::note_synced(descriptor);
+  }
+  return result;
 }
