Soak: losses of power, and a change that needs a replica which was killed in a sync

Signals leave all that was written, so that no run showed what a restarted replica answers for. Now half of the kills of control take what was not synced (gone, torn, zero or there, by a draw of their own), a replica with a slow disk may be killed in a sync, started again and lose power up to 600 ms later, the loss of everything takes unsynced bytes from all, and before half of those in which a minority lags a change needs a replica that is killed while it syncs it.

--- a/tests/soak/control_faults.cpp
+++ b/tests/soak/control_faults.cpp
@@ -3,8 +3,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 
 #include "soak/soak_faults.hpp"
 
@@ -23,6 +21,8 @@
 constexpr std::uint64_t kSlowSyncMillis = 400;
 constexpr auto kStalledSync = std::chrono::seconds(60);
 constexpr auto kAllSlowSync = milliseconds(40);
+/// From the restart of a killed replica to its loss of power.
+constexpr std::uint64_t kMostMillisToPowerLoss = 600;
 /// Of a squeezed replica: how long it runs and stands still in turn.
 constexpr auto kSlice = milliseconds(40);
 constexpr std::size_t kSeeds = 3;
@@ -67,10 +67,16 @@
   const Subject subject{Part::kControl, number};
   process::Child& control = fleet_.control(number);
   switch (draw(8)) {
-    case 0:
+    case 0: {
       kill(control);
-      add(now, subject, "kill", [this, number] { restart_control(number); });
+      const bool loses_power = power_random_() % 2 == 0;
+      if (loses_power) {
+        lose_unsynced(number);
+      }
+      add(now, subject, loses_power ? "take the power of" : "kill",
+          [this, number] { restart_control(number); });
       break;
+    }
     case 1:
       control.signal(SIGSTOP);
       add(now, subject, "freeze", [this, number] { fleet_.control(number).signal(SIGCONT); });
@@ -192,23 +198,14 @@
   told_.push_back(std::to_string(core::to_millis(core::BootClock::now() - begun_)) + " ms: other seeds");
 }
 
-void SoakFaults::slow_disk(std::size_t control, milliseconds delay) {
-  const std::filesystem::path file = fleet_.control_settings(control).string() + ".sync";
-  if (delay.count() == 0) {
-    std::filesystem::remove(file);
-    return;
-  }
-  std::ofstream(file) << delay.count();
-}
-
 void SoakFaults::hit_disk(core::Instant now) {
   if (draw(4) == 0 && !any_control_hit() && protected_controls_.empty()) {
     for (std::size_t number = 0; number < fleet_.controls(); ++number) {
-      slow_disk(number, kAllSlowSync);
+      fleet_.slow_disk(number, kAllSlowSync);
     }
     add(now, {Part::kAllControl}, "slow the disks of", [this] {
       for (std::size_t number = 0; number < fleet_.controls(); ++number) {
-        slow_disk(number, milliseconds(0));
+        fleet_.slow_disk(number, milliseconds(0));
       }
     });
     return;
@@ -218,9 +215,28 @@
     return;
   }
   const bool stalls = draw(3) == 0;
-  slow_disk(*drawn, stalls ? kStalledSync : milliseconds(20 + draw(kSlowSyncMillis)));
+  fleet_.slow_disk(*drawn, stalls ? kStalledSync : milliseconds(20 + draw(kSlowSyncMillis)));
+  if (power_random_() % 3 == 0) {
+    add(now, {Part::kControl, *drawn}, "slow, kill in a sync and then take the power of",
+        [this, number = *drawn] { kill_in_a_sync_then_lose_power(number); });
+    return;
+  }
   add(now, {Part::kControl, *drawn}, stalls ? "stall the disk of" : "slow the disk of",
-      [this, number = *drawn] { slow_disk(number, milliseconds(0)); });
+      [this, number = *drawn] { fleet_.slow_disk(number, milliseconds(0)); });
+}
+
+void SoakFaults::lose_unsynced(std::size_t number) {
+  fleet_.lose_unsynced(number, platform::UnsyncedFate{power_random_()});
+}
+
+void SoakFaults::kill_in_a_sync_then_lose_power(std::size_t number) {
+  kill(fleet_.control(number));
+  fleet_.slow_disk(number, milliseconds(0));
+  restart_control(number);
+  fleet_.pause(milliseconds(power_random_() % kMostMillisToPowerLoss));
+  kill(fleet_.control(number));
+  lose_unsynced(number);
+  restart_control(number);
 }
 
 void SoakFaults::kill_all_control(core::Instant now) {
@@ -230,7 +246,12 @@
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
     kill(fleet_.control(number));
   }
-  add(now, {Part::kAllControl}, "kill", [this] { restart_all_control(); });
+  const bool loses_power = power_random_() % 2 == 0;
+  for (std::size_t number = 0; loses_power && number < fleet_.controls(); ++number) {
+    lose_unsynced(number);
+  }
+  add(now, {Part::kAllControl}, loses_power ? "take the power of" : "kill",
+      [this] { restart_all_control(); });
 }
 
 std::set<std::size_t> SoakFaults::freeze_spare_controls() {
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -17,9 +17,13 @@
 /// After a loss of power: how long only replicas that lag, and one that lost its disk, are back.
 constexpr auto kWithoutMajorityTime = milliseconds(2500);
 constexpr auto kStopLimit = std::chrono::seconds(10);
+/// For a change that most replicas can take at once.
+constexpr auto kAcknowledgedSoon = std::chrono::seconds(1);
 /// Of an exit code: the process was ended by the signal that follows.
 constexpr int kSignalled = 128;
 constexpr auto kDeathLimit = std::chrono::seconds(5);
+/// The draws of losses of power are not those of the other faults.
+constexpr std::uint64_t kPowerSeed = 0xD1B54A32D192ED03;
 
 void kill(process::Child& child) {
   child.signal(SIGKILL);
@@ -56,6 +60,7 @@
       traffic_(traffic),
       random_(seed),
       life_random_(~seed),
+      power_random_(seed ^ kPowerSeed),
       begun_(core::BootClock::now()) {
   if (draw(3) == 0) {
     protect_majority();
@@ -238,7 +243,9 @@
 void SoakFaults::lose_a_disk_and_all_power() {
   const std::set<std::size_t> lagging = draw(2) == 0 ? freeze_spare_controls() : std::set<std::size_t>{};
   traffic_.change_now();
-  if (!lagging.empty()) {
+  if (!lagging.empty() && power_random_() % 2 == 0) {
+    change_across_a_kill_in_a_sync(lagging);
+  } else if (!lagging.empty()) {
     traffic_.change_now();
   }
   const core::Instant now = core::BootClock::now();
@@ -249,6 +256,9 @@
   told_.push_back(std::to_string(core::to_millis(now - begun_)) + " ms: all lose power, control " +
                   std::to_string(lost) + " its disk; replicas that lag: " + std::to_string(lagging.size()));
   kill_everything();
+  for (std::size_t number = 0; number < fleet_.controls(); ++number) {
+    lose_unsynced(number);
+  }
   fleet_.lose_disk(lost);
   fleet_.pause(kDarkTime);
   if (!lagging.empty()) {
@@ -264,6 +274,22 @@
   rule_.on_fault_of_all_control(core::BootClock::now());
 }
 
+void SoakFaults::change_across_a_kill_in_a_sync(const std::set<std::size_t>& lagging) {
+  std::size_t number = power_random_() % fleet_.controls();
+  while (is_gone(number) || lagging.contains(number)) {
+    number = power_random_() % fleet_.controls();
+  }
+  told_.push_back("a change across a kill of control " + std::to_string(number) + " in a sync");
+  const std::size_t acknowledged = rule_.acknowledged().size();
+  fleet_.slow_disk(number, kStopLimit);
+  traffic_.begin_change();
+  fleet_.wait([&] { return fleet_.has_unsynced(number); }, kAcknowledgedSoon);
+  kill(fleet_.control(number));
+  fleet_.slow_disk(number, milliseconds(0));
+  restart_control(number);
+  fleet_.wait([&] { return rule_.acknowledged().size() > acknowledged; }, kAcknowledgedSoon);
+}
+
 void SoakFaults::kill_everything() {
   rule_.on_fault_of_all_control(core::BootClock::now());
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -107,6 +107,8 @@
   void restart_proxy(std::size_t number);
   void restart_all_proxies();
   void kill_everything();
+  /// Sends a change that needs a replica which is killed while it syncs it, and started again at once.
+  void change_across_a_kill_in_a_sync(const std::set<std::size_t>& lagging);
 
   // Control (control_faults.cpp).
   /// How many replicas may be away at once, for control to go on.
@@ -132,9 +134,11 @@
   [[nodiscard]] std::vector<std::size_t> draw_seeds();
   void disk_is_lost_until_caught_up();
   void shift_clock();
-  /// Each sync of a replica's disk takes so much longer; zero ends that.
-  void slow_disk(std::size_t control, std::chrono::milliseconds delay);
   void hit_disk(core::Instant now);
+  /// A replica that has ended has also lost power: of what it had not synced, a drawn part is gone.
+  void lose_unsynced(std::size_t number);
+  /// Kills a replica whose disk is slow, starts it again, and takes its power a moment later.
+  void kill_in_a_sync_then_lose_power(std::size_t number);
 
   // Links between machines (machine_link_faults.cpp).
   void hit_machine_link(core::Instant now);
@@ -157,6 +161,7 @@
   ConfigurationTraffic& traffic_;
   std::mt19937_64 random_;
   std::mt19937_64 life_random_;  ///< Of its own, so that the other faults of a seed stay what they were.
+  std::mt19937_64 power_random_;
   core::Instant begun_;
   core::Instant next_of_lives_{};
   core::Instant next_{};
