A new leader of control waits until an earlier one's promotion has taken effect

What callers would see: acknowledged writes are lost (LOST).

Cause, from the trace: the first leader orders the promotion of db0 and ends; 120 ms later the next one begins the next term and fences db0 and db2; 140 ms after that the first order takes effect, which ends both holds, and db0 acknowledges with receipts of db2. The third fence comes then, and the choice rests on what the first two had said. Orders can't be taken back, and the platform checks no fence.

Fix: a leader that finds a change of another leadership under way in a semi-synchronous group begins its own term one second after its election: by then what was ordered has taken effect (some hundred ms, by the platform's pages), and fences say what came of it. The price is up to a second without a primary when control's leader goes in the midst of a change of primary. Ruled out: ending the wait when a database says that it leads (an older primary that heals says so too), and a committed entry for each order (one more sync in each change of primary, and the order's time would have to be waited for as well).

--- a/src/failover/coordinator.cpp
+++ b/src/failover/coordinator.cpp
@@ -16,7 +16,7 @@
   last_heartbeats_.clear();
   reported_groups_.clear();
   for (auto& [name, group] : groups_) {
-    group->reset();
+    group->reset(now);
   }
   if (!leading_) {
     return;
--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -8,7 +8,8 @@
 
 namespace pipitpond::failover {
 
-void GroupCoordinator::reset() {
+void GroupCoordinator::reset(core::Instant now) {
+  leadership_since_ = now;
   probes_.reset();
   departed_removal_.reset();
   returned_logs_.reset();
--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -28,9 +28,9 @@
   GroupCoordinator(std::vector<Effect>& effects, const RevisionAppliedCheck& revision_applied)
       : effects_(effects), revision_applied_(revision_applied) {}
 
-  /// Clears all state except the configuration. A change of primary that another leadership began is not
-  /// continued in its term.
-  void reset();
+  /// Clears all state except the configuration, when a leadership begins or ends. A change of primary that
+  /// another leadership began is not continued in its term.
+  void reset(core::Instant now);
   /// Takes over the group as committed at `revision`, and the daemons that own its current primary.
   void on_configuration(core::Instant now, const protocol::Group& group, std::vector<core::DaemonId> owners,
                         protocol::Revision revision);
@@ -71,6 +71,9 @@
   void adopt_primary(core::Instant now);
   [[nodiscard]] bool should_probe() const;
   [[nodiscard]] bool change_is_due(core::Instant now, const LastHeartbeats& last_heartbeats) const;
+  /// Whether a promotion that another leadership ordered just before it ended may still take effect. It would
+  /// end the holds that this one sets.
+  [[nodiscard]] bool earlier_order_may_take_effect(core::Instant now) const;
   [[nodiscard]] bool leader_lost_primary(core::Instant now) const;
   [[nodiscard]] bool stall_confirmed(core::Instant now) const;
   [[nodiscard]] bool replica_acks_missing(core::Instant now) const;
@@ -101,6 +104,7 @@
   ReturnedLogCheck returned_logs_;
   SuspicionTally tally_;
 
+  core::Instant leadership_since_;
   Phase phase_ = Phase::kSteady;
   bool planned_ = false;
   core::Instant phase_since_;
@@ -131,6 +135,9 @@
 inline constexpr core::Duration kAnswerTimeout = std::chrono::milliseconds(400);
 /// Answer timeout of a promotion in a semi-synchronous group, which an external service performs.
 inline constexpr core::Duration kExternalPromotionTimeout = std::chrono::milliseconds(4000);
+/// An external service's promotion takes effect within this time of its order: some hundred ms, by the
+/// platform's protocol.
+inline constexpr core::Duration kOrderTakesEffectWithin = std::chrono::milliseconds(1000);
 /// Delay before a proposal that has not appeared in the committed configuration is repeated.
 inline constexpr core::Duration kProposalRetryInterval = std::chrono::milliseconds(400);
 /// Attempts to promote one candidate in a term before the next term is begun.
--- a/src/failover/group_coordinator_detection.cpp
+++ b/src/failover/group_coordinator_detection.cpp
@@ -39,7 +39,7 @@
     return false;
   }
   if (!has_primary()) {
-    return true;
+    return !earlier_order_may_take_effect(now);
   }
   if (member(primary()) == nullptr) {
     return true;  // An operator has removed the primary from the group.
@@ -65,6 +65,11 @@
          (counts.owners == 0 && (leader_lost_primary(now) || stall_confirmed(now)));
 }
 
+bool GroupCoordinator::earlier_order_may_take_effect(core::Instant now) const {
+  const bool begun_by_another = !group_.terms.empty() && last_term() != proposed_term_;
+  return is_semi_synchronous() && begun_by_another && now - leadership_since_ < kOrderTakesEffectWithin;
+}
+
 bool GroupCoordinator::leader_lost_primary(core::Instant now) const {
   if (probes_.suspected_unreachable(primary())) {
     return true;
--- a/tests/failover_logic/semi_synchronous_test.cpp
+++ b/tests/failover_logic/semi_synchronous_test.cpp
@@ -198,6 +198,7 @@
     coordinator_.on_probe_answer(now_, answer);
   }
   void carry_out(const FenceDatabase& fence) {
+    ++fences_;
     Database& database = databases_[fence.database.value()];
     if (!database.reachable) {
       coordinator_.on_fence_failed(now_, fence.group, fence.database, fence.term);
@@ -266,6 +267,7 @@
   core::Instant fails_at_;
   std::uint64_t births_ = 0;
   std::size_t probes_ = 0;
+  std::size_t fences_ = 0;
   std::map<std::string, Database> databases_;
   std::vector<std::string> promoted_;
 };
@@ -470,6 +472,27 @@
   EXPECT_EQ(primary(), "a");
 }
 
+TEST_F(SemiSynchronousGroupTest, NoDatabaseIsFencedWhileAPromotionThatAnEarlierLeaderOrderedMayTakeEffect) {
+  run(milliseconds(500));
+  databases_["a"].reachable = false;
+  promotions_fail_ = true;
+  promotions_take_ = milliseconds(5000);
+  run(milliseconds(1000), 4);
+  ASSERT_EQ(promoted_, std::vector<std::string>{"b"});
+  coordinator_.on_leadership(now_, false);
+  (void)coordinator_.take_effects();
+  coordinator_.on_leadership(now_, true);
+  failing_.reset();
+  promotions_fail_ = false;
+  const std::size_t fences_before = fences_;
+  run(kOrderTakesEffectWithin - kTickInterval);
+  EXPECT_EQ(fences_, fences_before);
+  databases_["b"].primary = true;
+  databases_["b"].received = {2, 51};
+  run(milliseconds(2000));
+  EXPECT_EQ(primary(), "b") << "which holds what it acknowledged since";
+}
+
 TEST_F(SemiSynchronousGroupTest, NoReplicaIsRemovedOnTheWordOfAPrimaryWithoutItsLog) {
   run(milliseconds(500));
   databases_["b"].received = {1, 60};
