A change of primary whose promoted database is gone begins anew

What callers saw: a service is refused for good, also after all machines are back (RECOVER), until control has another leader.

Cause: between the promotion and the commit that completes the change, which waits until each daemon follows or has lost its lease, the promoted database can be replaced at its address. Control's state machine then refuses it as the primary, for it is no member, and the coordinator proposed it again each 400 ms without end.

SemiSynchronousGroupTest.AChangeWhosePromotedDatabaseIsReplacedBeforeItIsCommittedEnds failed before (no primary after 5 s) and passes. The test's stand-in for control refuses a primary that is no member now, as control does.

--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -114,9 +114,7 @@
       promote(now);
       break;
     case Phase::kCompleting:
-      if (now - proposed_at_ >= kProposalRetryInterval || is_semi_synchronous()) {
-        propose_complete(now);
-      }
+      complete(now);
       break;
   }
 }
@@ -367,6 +365,16 @@
 
 // --- Complete ----------------------------------------------------------------------------------------------
 
+void GroupCoordinator::complete(core::Instant now) {
+  // Control refuses a primary that is no member, however often it is proposed.
+  const bool is_gone = member(candidate_) == nullptr || candidate_started_again_;
+  if (is_gone) {
+    abandon_candidate(now);
+  } else if (now - proposed_at_ >= kProposalRetryInterval || is_semi_synchronous()) {
+    propose_complete(now);
+  }
+}
+
 void GroupCoordinator::propose_complete(core::Instant now) {
   // In a semi-synchronous group, fencing does not stop reads on the old primary. Every daemon must have
   // applied the begin of the change, or lost its lease, before the new primary can acknowledge a write.
--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -93,6 +93,8 @@
   [[nodiscard]] bool should_await_more_fences(core::Instant now) const;
   void promote(core::Instant now);
   void abandon_candidate(core::Instant now);
+  /// Gives the promoted database up if it has been replaced or has started again meanwhile.
+  void complete(core::Instant now);
   void propose_complete(core::Instant now);
 
   std::vector<Effect>& effects_;
--- a/tests/failover_logic/semi_synchronous_test.cpp
+++ b/tests/failover_logic/semi_synchronous_test.cpp
@@ -225,6 +225,9 @@
     commit();
   }
   void carry_out(const ProposeCompletePrimaryChange& complete) {
+    if (protocol::find_database(group_, complete.primary) == nullptr) {
+      return;  // As control's state machine refuses it.
+    }
     group_.terms.back().primary = complete.primary;
     commit();
   }
@@ -493,6 +496,22 @@
   EXPECT_EQ(primary(), "b") << "which holds what it acknowledged since";
 }
 
+TEST_F(SemiSynchronousGroupTest, AChangeWhosePromotedDatabaseIsReplacedBeforeItIsCommittedEnds) {
+  run(milliseconds(500));
+  databases_["a"].reachable = false;
+  databases_["b"].received = {1, 60};
+  revision_applied_ = false;
+  run(milliseconds(1000), 4);
+  ASSERT_EQ(promoted_, std::vector<std::string>{"b"});
+  databases_["b"].reachable = false;
+  databases_["d"].received = {1, 60};
+  member("b").id = core::DatabaseId("d");
+  commit();
+  revision_applied_ = true;
+  run(milliseconds(5000));
+  EXPECT_EQ(primary(), "d");
+}
+
 TEST_F(SemiSynchronousGroupTest, NoReplicaIsRemovedOnTheWordOfAPrimaryWithoutItsLog) {
   run(milliseconds(500));
   databases_["b"].received = {1, 60};
