Soak: losses of power in a file of their own, one kill, names that say what they count

kill() stood twice; kSeeds of control_faults counted seed machines, that of fault_links the seeds that the fault proxy takes. No fault and no draw changed.

--- a/tests/soak/control_faults.cpp
+++ b/tests/soak/control_faults.cpp
@@ -16,16 +16,14 @@
 /// would be one more than control bears.
 constexpr auto kCatchUp = std::chrono::seconds(6);
 constexpr auto kStopLimit = std::chrono::seconds(10);
-constexpr auto kDeathLimit = std::chrono::seconds(5);
 /// How much longer a sync takes on a slow disk, at most; on one that stalls, for as long as the fault lasts.
 constexpr std::uint64_t kSlowSyncMillis = 400;
 constexpr auto kStalledSync = std::chrono::seconds(60);
 constexpr auto kAllSlowSync = milliseconds(40);
-/// From the restart of a killed replica to its loss of power.
-constexpr std::uint64_t kMostMillisToPowerLoss = 600;
 /// Of a squeezed replica: how long it runs and stands still in turn.
 constexpr auto kSlice = milliseconds(40);
-constexpr std::size_t kSeeds = 3;
+/// Control machines that the settings name.
+constexpr std::size_t kSeedMachines = 3;
 
 /// From now on the process can't write to files, as on a full disk, or can again.
 void set_disk_full(process::Child& child, bool full) {
@@ -34,11 +32,6 @@
   prlimit(child.pid(), RLIMIT_FSIZE, &limits, nullptr);
 }
 
-void kill(process::Child& child) {
-  child.signal(SIGKILL);
-  child.wait(kDeathLimit);
-}
-
 }  // namespace
 
 void SoakFaults::protect_majority() {
@@ -176,7 +169,7 @@
     }
   }
   std::shuffle(alive.begin(), alive.end(), random_);
-  alive.resize(std::min(alive.size(), kSeeds));
+  alive.resize(std::min(alive.size(), kSeedMachines));
   return alive;
 }
 
@@ -225,20 +218,6 @@
       [this, number = *drawn] { fleet_.slow_disk(number, milliseconds(0)); });
 }
 
-void SoakFaults::lose_unsynced(std::size_t number) {
-  fleet_.lose_unsynced(number, platform::UnsyncedFate{power_random_()});
-}
-
-void SoakFaults::kill_in_a_sync_then_lose_power(std::size_t number) {
-  kill(fleet_.control(number));
-  fleet_.slow_disk(number, milliseconds(0));
-  restart_control(number);
-  fleet_.pause(milliseconds(power_random_() % kMostMillisToPowerLoss));
-  kill(fleet_.control(number));
-  lose_unsynced(number);
-  restart_control(number);
-}
-
 void SoakFaults::kill_all_control(core::Instant now) {
   if (any_control_hit() || !protected_controls_.empty()) {
     return;
--- a/tests/soak/fault_links.cpp
+++ b/tests/soak/fault_links.cpp
@@ -12,7 +12,7 @@
 
 const std::string kLoopback = "127.0.0.1";
 /// Bound of the fault proxy's setting.
-constexpr std::uint64_t kSeeds = 1'000'000;
+constexpr std::uint64_t kSeedsOfTheProxy = 1'000'000;
 
 std::string link_name(const MachineName& from, const MachineName& to) {
   std::string name = from;
@@ -44,7 +44,7 @@
     : admin_{kLoopback, process::free_ports(kLoopback, 1).front()} {
   const std::filesystem::path settings = folder / (name + ".toml");
   std::ofstream file(settings);
-  file << "seed = " << seed % kSeeds + 1 << "\n[listen]\naddress = \"" << admin_.address
+  file << "seed = " << seed % kSeedsOfTheProxy + 1 << "\n[listen]\naddress = \"" << admin_.address
        << "\"\nport = " << admin_.port << "\n";
   for (const Link& link : links) {
     file << "[[links]]\nname = \"" << link.name << "\"\nlisten = \"" << core::to_string(link.listen)
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -17,19 +17,12 @@
 /// After a loss of power: how long only replicas that lag, and one that lost its disk, are back.
 constexpr auto kWithoutMajorityTime = milliseconds(2500);
 constexpr auto kStopLimit = std::chrono::seconds(10);
-/// For a change that most replicas can take at once.
-constexpr auto kAcknowledgedSoon = std::chrono::seconds(1);
 /// Of an exit code: the process was ended by the signal that follows.
 constexpr int kSignalled = 128;
 constexpr auto kDeathLimit = std::chrono::seconds(5);
 /// The draws of losses of power are not those of the other faults.
 constexpr std::uint64_t kPowerSeed = 0xD1B54A32D192ED03;
 
-void kill(process::Child& child) {
-  child.signal(SIGKILL);
-  child.wait(kDeathLimit);
-}
-
 }  // namespace
 
 std::string to_string(const Subject& subject) {
@@ -127,6 +120,11 @@
   }
 }
 
+void SoakFaults::kill(process::Child& child) {
+  child.signal(SIGKILL);
+  child.wait(kDeathLimit);
+}
+
 void SoakFaults::heal() {
   for (const Active& active : active_) {
     active.end();
@@ -274,22 +272,6 @@
   rule_.on_fault_of_all_control(core::BootClock::now());
 }
 
-void SoakFaults::change_across_a_kill_in_a_sync(const std::set<std::size_t>& lagging) {
-  std::size_t number = power_random_() % fleet_.controls();
-  while (is_gone(number) || lagging.contains(number)) {
-    number = power_random_() % fleet_.controls();
-  }
-  told_.push_back("a change across a kill of control " + std::to_string(number) + " in a sync");
-  const std::size_t acknowledged = rule_.acknowledged().size();
-  fleet_.slow_disk(number, kStopLimit);
-  traffic_.begin_change();
-  fleet_.wait([&] { return fleet_.has_unsynced(number); }, kAcknowledgedSoon);
-  kill(fleet_.control(number));
-  fleet_.slow_disk(number, milliseconds(0));
-  restart_control(number);
-  fleet_.wait([&] { return rule_.acknowledged().size() > acknowledged; }, kAcknowledgedSoon);
-}
-
 void SoakFaults::kill_everything() {
   rule_.on_fault_of_all_control(core::BootClock::now());
   for (std::size_t number = 0; number < fleet_.controls(); ++number) {
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -72,6 +72,8 @@
     std::function<void()> end;
   };
 
+  /// Ends a process at once, and waits for its end.
+  static void kill(process::Child& child);
   void restart_ended(core::Instant now);
   void note_end(const Subject& subject, process::Child& child);
   void begin(core::Instant now);
@@ -107,8 +109,6 @@
   void restart_proxy(std::size_t number);
   void restart_all_proxies();
   void kill_everything();
-  /// Sends a change that needs a replica which is killed while it syncs it, and started again at once.
-  void change_across_a_kill_in_a_sync(const std::set<std::size_t>& lagging);
 
   // Control (control_faults.cpp).
   /// How many replicas may be away at once, for control to go on.
@@ -135,10 +135,15 @@
   void disk_is_lost_until_caught_up();
   void shift_clock();
   void hit_disk(core::Instant now);
+
+  // Losses of power (power_faults.cpp).
   /// A replica that has ended has also lost power: of what it had not synced, a drawn part is gone.
   void lose_unsynced(std::size_t number);
   /// Kills a replica whose disk is slow, starts it again, and takes its power a moment later.
   void kill_in_a_sync_then_lose_power(std::size_t number);
+  /// Sends a change that needs a replica which is killed while it syncs it, and started again at once.
+  /// `lagging`: replicas that are frozen.
+  void change_across_a_kill_in_a_sync(const std::set<std::size_t>& lagging);
 
   // Links between machines (machine_link_faults.cpp).
   void hit_machine_link(core::Instant now);
