A leaving primary is replaced by a database with all of its log, whoever else is gone

Cause: a change of primary wants all members but SyncReplicas fenced, also where the primary itself can be. Databases that are lost for good stay members until others take their places, so two of four are missing for ever.

Fix: the last primary's own log has every write that was acknowledged, and once it is demoted it acknowledges no more; so it and one database that has all of its log are enough. It counts only with a proven log and with no fenced database ahead of it, which would show that it has lost entries. A planned change may begin with it alone reachable besides its successor. If nobody has all of its log after 1 s (a last write that no replica received), it leads again, where before the group had no primary until others returned. Ruled out: removing silent members (a cut off replica may hold the only other copy), and leaving a draining primary without a change (reads that others could serve).

Evidence: SemiSynchronousGroupTest.ALeavingPrimaryIsReplacedThoughTwoReplicasAreGoneForGood and the choice's tests and property (all new; the flag did not exist).

--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -128,7 +128,7 @@
   std::vector<FencedMember> reachable;
   for (const protocol::Database& database : group_.databases) {
     if (database.id != excluded && probes_.reachable(now, database.id)) {
-      reachable.push_back(FencedMember{database.id, {}, false, false, database.log_unproven});
+      reachable.push_back(FencedMember{database.id, {}, false, false, database.log_unproven, false});
     }
   }
   return enough_fenced(reachable, group_.databases.size(), group_.sync_replicas);
@@ -260,6 +260,11 @@
       });
 }
 
+bool GroupCoordinator::must_reinstate(core::Instant now, const std::vector<FencedMember>& fenced) const {
+  return is_semi_synchronous() && now - phase_since_ >= kReinstateAfter &&
+         fenced_last_primary(fenced) != nullptr;
+}
+
 void GroupCoordinator::choose_when_fenced(core::Instant now) {
   std::vector<FencedMember> fenced;
   for (const protocol::Database& database : group_.databases) {
@@ -273,9 +278,10 @@
     fenced_member.leaving = database.draining || fence->second.answer->leaving;
     fenced_member.avoided = database.id == replaced_primary_ || failed_candidates_.contains(database.id);
     fenced_member.log_unproven = database.log_unproven;
+    fenced_member.led_last_term = database.id == last_primary();
     fenced.push_back(fenced_member);
   }
-  if (!enough_fenced(fenced, group_.databases.size(), group_.sync_replicas)) {
+  if (!enough_fenced(fenced, group_.databases.size(), group_.sync_replicas) && !must_reinstate(now, fenced)) {
     return;
   }
   if (!fence_quorum_since_.has_value()) {
@@ -396,6 +402,12 @@
   return !group_.terms.empty() && !group_.terms.back().primary.empty();
 }
 
+core::DatabaseId GroupCoordinator::last_primary() const {
+  const auto last = std::find_if(group_.terms.rbegin(), group_.terms.rend(),
+                                 [](const protocol::TermStart& term) { return !term.primary.empty(); });
+  return last == group_.terms.rend() ? core::DatabaseId() : last->primary;
+}
+
 core::DatabaseId GroupCoordinator::primary() const {
   return group_.terms.empty() ? core::DatabaseId() : group_.terms.back().primary;
 }
--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -16,6 +16,7 @@
 #include "failover/departed_database_removal.hpp"
 #include "failover/effects.hpp"
 #include "failover/member_probes.hpp"
+#include "failover/primary_choice.hpp"
 #include "failover/returned_log_check.hpp"
 #include "failover/suspicion_tally.hpp"
 #include "protocol/configuration.hpp"
@@ -58,6 +59,8 @@
   [[nodiscard]] core::Term last_term() const;
   [[nodiscard]] bool has_primary() const;
   [[nodiscard]] core::DatabaseId primary() const;
+  /// Of the last term that had one; empty if none had.
+  [[nodiscard]] core::DatabaseId last_primary() const;
   [[nodiscard]] const protocol::Database* member(const core::DatabaseId& database) const;
 
   [[nodiscard]] bool is_named() const;
@@ -91,6 +94,9 @@
   void send_fences(core::Instant now);
   void choose_when_fenced(core::Instant now);
   [[nodiscard]] bool should_await_more_fences(core::Instant now) const;
+  /// Whether the last primary, which is fenced, is to lead again: the group would else have no primary until
+  /// databases return that may be gone for good.
+  [[nodiscard]] bool must_reinstate(core::Instant now, const std::vector<FencedMember>& fenced) const;
   void promote(core::Instant now);
   void abandon_candidate(core::Instant now);
   /// Gives the promoted database up if it has been replaced or has started again meanwhile.
@@ -131,6 +137,8 @@
 /// Once enough databases are fenced, the others get this long to answer before the new primary is chosen.
 /// More answers improve the choice but do not make it safer.
 inline constexpr core::Duration kFenceGracePeriod = std::chrono::milliseconds(50);
+/// A last primary that is fenced leads again if no other database could be chosen for this long.
+inline constexpr core::Duration kReinstateAfter = std::chrono::milliseconds(1000);
 /// Delay before a failed fence or promote request is sent again.
 inline constexpr core::Duration kRetryDelay = std::chrono::milliseconds(100);
 /// Time without an answer after which a fence or promote request is sent again.
--- a/src/failover/group_coordinator_detection.cpp
+++ b/src/failover/group_coordinator_detection.cpp
@@ -131,7 +131,10 @@
     return false;
   }
   const database::StatusAnswer* primary_status = probes_.status(primary());
-  if (primary_status == nullptr || !probes_.reachable(now, primary()) || !can_fence_enough(now)) {
+  // A semi-synchronous primary that is fenced has all that was acknowledged, whoever else is lost for good.
+  const bool primary_suffices = is_semi_synchronous() && !member(primary())->log_unproven;
+  const bool can_be_replaced = primary_suffices || can_fence_enough(now);
+  if (primary_status == nullptr || !probes_.reachable(now, primary()) || !can_be_replaced) {
     return false;
   }
   return std::any_of(group_.databases.begin(), group_.databases.end(), [&](const protocol::Database& other) {
--- a/src/failover/primary_choice.hpp
+++ b/src/failover/primary_choice.hpp
@@ -17,6 +17,7 @@
   bool leaving = false;        ///< Shutting down or draining: chosen only when no other database is safe.
   bool avoided = false;        ///< The replaced primary, or its promotion failed: preferred to leaving only.
   bool log_unproven = false;   ///< It has started again, and may have lost entries that it had received.
+  bool led_last_term = false;  ///< The primary of the last term that had one.
 };
 
 /// Smallest majority of a group of this size.
@@ -39,11 +40,16 @@
 }
 
 /// True when the fenced databases are enough to choose from. Either fences_needed() of them have kept their
-/// logs, or the whole group is fenced. A database that may have lost its log is no holder of any write: it
-/// counts as a member that is not fenced, but for the case that no member is missing. `members`: size of the
-/// group.
+/// logs, or the whole group is fenced, or the last primary is and another database has all of its log. A
+/// database that may have lost its log is no holder of any write: it counts as a member that is not fenced,
+/// but for the case that no member is missing. `members`: size of the group.
 bool enough_fenced(const std::vector<FencedMember>& fenced, std::size_t members, std::size_t sync_replicas);
 
+/// The last primary, if it is fenced, has kept its log, and no other fenced database is ahead of it, which
+/// would show that it has not. It holds every acknowledged write, and none can be acknowledged any more: no
+/// other database has acknowledged one since its own promotion. Null if there is none.
+const FencedMember* fenced_last_primary(const std::vector<FencedMember>& fenced);
+
 /// Returns the database to promote, or empty while too few are fenced.
 ///
 /// A database is safe to promote when its log is at least as up to date as those of a majority of the group,
@@ -54,7 +60,8 @@
 /// replaces the majority: at most `sync_replicas` databases can be ahead of the chosen one, and an
 /// acknowledged write is on one database more than that. Databases that may have lost their logs are left
 /// out. Where too few are left, but the whole group is fenced, only the most up-to-date log is safe: it holds
-/// every acknowledged write that any database still holds.
+/// every acknowledged write that any database still holds. With `sync_replicas` > 0, whatever has all that
+/// fenced_last_primary() has is safe too, itself included.
 std::optional<core::DatabaseId> choose_primary(const std::vector<FencedMember>& fenced,
                                                std::size_t group_size, std::size_t sync_replicas = 0);
 
--- a/tests/failover_logic/semi_synchronous_test.cpp
+++ b/tests/failover_logic/semi_synchronous_test.cpp
@@ -92,6 +92,43 @@
   }
 }
 
+// Property: the same for those that have all of the last primary's log, fenced with it, whoever else is away.
+RC_GTEST_PROP(SemiSynchronousChoiceProperty, ASuccessorOfTheFencedLastPrimaryHasEveryAcknowledgedWrite, ()) {
+  const auto size = static_cast<std::size_t>(*rc::gen::inRange(2, 6));
+  auto received =
+      *rc::gen::container<std::vector<std::uint64_t>>(size, rc::gen::inRange<std::uint64_t>(0, 8));
+  received[0] = *std::max_element(received.begin(), received.end()) + *rc::gen::inRange<std::uint64_t>(0, 2);
+  const std::uint64_t acknowledged = *std::max_element(received.begin() + 1, received.end());
+  std::vector<FencedMember> members;
+  for (std::size_t number = 0; number < size; ++number) {
+    if (number == 0 || *rc::gen::arbitrary<bool>()) {
+      members.push_back(fenced(std::to_string(number), received[number], *rc::gen::arbitrary<bool>()));
+    }
+  }
+  members.front().led_last_term = true;
+  const auto chosen = choose_primary(members, size, 1);
+  RC_ASSERT(chosen.has_value());
+  RC_ASSERT(received.at(std::stoul(chosen->value())) >= acknowledged);
+}
+
+TEST(SemiSynchronousChoiceTest, AFencedLastPrimaryIsEnoughOnceAnotherHasAllOfItsLog) {
+  FencedMember last_primary = fenced("a", 9, true);
+  last_primary.led_last_term = true;
+  EXPECT_FALSE(enough_fenced({last_primary}, 4, 1));
+  EXPECT_FALSE(enough_fenced({last_primary, fenced("d", 8)}, 4, 1));
+  EXPECT_TRUE(enough_fenced({last_primary, fenced("d", 9)}, 4, 1));
+  EXPECT_EQ(choose_primary({last_primary, fenced("d", 9)}, 4, 1), core::DatabaseId("d"));
+}
+
+TEST(SemiSynchronousChoiceTest, ALastPrimaryThatMayHaveLostItsLogIsNotEnough) {
+  FencedMember last_primary = fenced("a", 9);
+  last_primary.led_last_term = true;
+  last_primary.log_unproven = true;
+  EXPECT_FALSE(choose_primary({last_primary, fenced("d", 9)}, 4, 1));
+  last_primary.log_unproven = false;
+  EXPECT_FALSE(choose_primary({last_primary, fenced("d", 10)}, 4, 1)) << "no replica is ahead of its primary";
+}
+
 TEST(SemiSynchronousChoiceTest, ADatabaseThatMayHaveLostItsLogProvesNothing) {
   FencedMember returned = fenced("b", 0);
   returned.log_unproven = true;
@@ -496,6 +533,32 @@
   EXPECT_EQ(primary(), "b") << "which holds what it acknowledged since";
 }
 
+TEST_F(SemiSynchronousGroupTest, ALeavingPrimaryIsReplacedThoughTwoReplicasAreGoneForGood) {
+  run(milliseconds(500));
+  databases_["b"].reachable = false;
+  databases_["c"].reachable = false;
+  protocol::Database newcomer = member("a");
+  newcomer.id = core::DatabaseId("d");
+  newcomer.endpoint.port = 7009;
+  group_.databases.push_back(newcomer);
+  member("a").draining = true;
+  commit();
+  run(milliseconds(3000));
+  EXPECT_EQ(primary(), "d");
+}
+
+TEST_F(SemiSynchronousGroupTest, ALeavingPrimaryLeadsOnIfItsOnlySuccessorLacksItsLastWrite) {
+  run(milliseconds(500));
+  databases_["a"].received = {1, 51};
+  databases_["b"].reachable = false;
+  member("a").draining = true;
+  commit();
+  run(milliseconds(1000));
+  databases_["c"].reachable = false;
+  run(milliseconds(2000));
+  EXPECT_EQ(primary(), "a");
+}
+
 TEST_F(SemiSynchronousGroupTest, AChangeWhosePromotedDatabaseIsReplacedBeforeItIsCommittedEnds) {
   run(milliseconds(500));
   databases_["a"].reachable = false;
