A route with an empty prefix stands at the root, as one without a prefix does

TwoRoutesOfOneHostAtTheRootAreRefusedHoweverTheRootIsTold asks for both now and failed before. Found by reading.

--- a/tests/platform/control_requests_test.cpp
+++ b/tests/platform/control_requests_test.cpp
@@ -91,12 +91,16 @@
 TEST(ControlRequestsTest, TwoRoutesOfOneHostAtTheRootAreRefusedHoweverTheRootIsTold) {
   auto whole = nlohmann::json::parse(kConfiguration);
   whole["Routes"].push_back(whole["Routes"][0]);
-  whole["Routes"][1].erase("PathPrefix");
-  const auto table = put(whole.dump());
-  ASSERT_TRUE(table.has_value());
   const protocol::Configuration empty;
   const configuration::PlanContext context{empty, 0, {}};
-  EXPECT_TRUE(configuration::plan(context, table.value()).error.has_value());
+  whole["Routes"][1].erase("PathPrefix");
+  const auto without = put(whole.dump());
+  ASSERT_TRUE(without.has_value());
+  EXPECT_TRUE(configuration::plan(context, without.value()).error.has_value());
+  whole["Routes"][1]["PathPrefix"] = "";
+  const auto with_an_empty_one = put(whole.dump());
+  ASSERT_TRUE(with_an_empty_one.has_value());
+  EXPECT_TRUE(configuration::plan(context, with_an_empty_one.value()).error.has_value());
 }
 
 TEST(ControlRequestsTest, ADeeplyNestedBodyIsRefusedAndEndsNoProcess) {
