--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -373,8 +373,8 @@
 
 void GroupCoordinator::complete(core::Instant now) {
   // Control refuses a primary that is no member, however often it is proposed.
-  const bool is_gone = member(candidate_) == nullptr || candidate_started_again_;
-  if (is_gone) {
+  const bool is_lost = member(candidate_) == nullptr || candidate_started_again_;
+  if (is_lost) {
     abandon_candidate(now);
   } else if (now - proposed_at_ >= kProposalRetryInterval || is_semi_synchronous()) {
     propose_complete(now);
--- a/src/failover/primary_choice.cpp
+++ b/src/failover/primary_choice.cpp
@@ -37,6 +37,7 @@
   return proven;
 }
 
+/// The best of the candidates for which `is_safe` holds; empty if it holds for none.
 template <typename IsSafe>
 std::optional<core::DatabaseId> best_of(const std::vector<FencedMember>& candidates, IsSafe is_safe) {
   const FencedMember* best = nullptr;
@@ -60,6 +61,7 @@
                  [&](const FencedMember& candidate) { return candidate.received >= last_primary.received; });
 }
 
+/// Whether a database can take the fenced last primary's place without losing a write.
 bool has_successor(const std::vector<FencedMember>& fenced) {
   const FencedMember* last_primary = fenced_last_primary(fenced);
   return last_primary != nullptr && std::any_of(fenced.begin(), fenced.end(), [&](const FencedMember& other) {
--- a/src/storage/raft_storage.cpp
+++ b/src/storage/raft_storage.cpp
@@ -101,7 +101,8 @@
   BOOST_OUTCOME_TRY(names, disk.list());
   BOOST_OUTCOME_TRYV(storage.load_snapshot(names));
   BOOST_OUTCOME_TRYV(storage.load_segments(names));
-  // The same holds for names: the identity and the newest snapshot may have been renamed without a sync.
+  // An earlier life may have been killed after it renamed the identity or a snapshot, before it synced the
+  // folder.
   BOOST_OUTCOME_TRYV(disk.sync_directory());
   BOOST_OUTCOME_TRYV(storage.reconcile_log_with_snapshot());
   if (storage.segments_.back().bytes == 0) {
