A leader that stood still reads no older configuration: a test on real processes

The path that no play had: a replica that leads is stopped, another leader acknowledges a change, reads are sent to the stopped one, and it goes on, with heartbeats' replies and the reads in its buffers.

PlatformFleet knows which replica leads, and begins calls, for this test and the one on losses of power.

--- a/tests/platform/configuration_test.cpp
+++ b/tests/platform/configuration_test.cpp
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "platform_support/platform_fleet.hpp"
@@ -15,6 +17,9 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kControls = 5;
+constexpr core::Duration kReadLimit = std::chrono::seconds(5);
+/// Until what was sent lies in the buffers of a process that stands still.
+constexpr milliseconds kArrived(200);
 
 class ConfigurationTest : public ::testing::Test {
  protected:
@@ -33,6 +38,14 @@
     });
   }
 
+  /// Sends a read of the configuration.
+  PendingAnswer begin_read(std::size_t replica) {
+    http::Request request;
+    request.method = "GET";
+    request.path = "/Config.Get";
+    return fleet_.begin_call(replica, std::move(request), kReadLimit);
+  }
+
   bool obeys(std::uint64_t version) { return fleet_.caller(0, name_of(version)) != nullptr; }
 
   void kill_everything() {
@@ -71,5 +84,36 @@
   EXPECT_TRUE(fleet_.wait([this] { return obeys(4); }));
 }
 
+// Reads and acknowledgements of heartbeats lie in its buffers when it goes on, and it still takes itself for
+// the leader.
+TEST_F(ConfigurationTest, ALeaderThatStoodStillWhileAnotherAcknowledgedAChangeReadsNoOlderOne) {
+  ASSERT_TRUE(fleet_.become_ready());
+  ASSERT_TRUE(fleet_.wait([this] { return fleet_.voters() == kControls; }));
+  std::optional<std::size_t> former;
+  for (std::uint64_t version = 2; version < 5; ++version) {
+    SCOPED_TRACE("version " + std::to_string(version));
+    ASSERT_TRUE(fleet_.wait([&] {
+      former = fleet_.leader();
+      return former.has_value();
+    }));
+    std::vector<std::size_t> others;
+    for (std::size_t number = 0; number < kControls; ++number) {
+      if (number != *former) {
+        others.push_back(number);
+      }
+    }
+    fleet_.control(*former).signal(SIGSTOP);
+    ASSERT_TRUE(put(version, others));
+    const std::vector reads = {begin_read(*former), begin_read(*former), begin_read(*former)};
+    fleet_.pause(kArrived);
+    fleet_.control(*former).signal(SIGCONT);
+    for (const auto& read : reads) {
+      ASSERT_TRUE(fleet_.wait([&read] { return read->has_value(); }));
+      const auto& [status, body] = **read;
+      EXPECT_TRUE(status != 200 || body == fleet_.configuration(version, 2000, {name_of(version)})) << body;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace pipitpond::platform
--- a/tests/platform/power_loss_test.cpp
+++ b/tests/platform/power_loss_test.cpp
@@ -1,9 +1,7 @@
 // What control has acknowledged after losses of power, which take what was not synced.
 #include <gtest/gtest.h>
 
-#include <boost/asio/co_spawn.hpp>
 #include <csignal>
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -15,6 +13,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kControls = 3;
+constexpr unsigned kOk = 200;
 constexpr milliseconds kStalledSync(60'000);
 constexpr core::Duration kCallLimit = std::chrono::seconds(3);
 constexpr milliseconds kWrittenSoon(2000);
@@ -26,33 +25,21 @@
 
   /// The number of the replica that leads, once all three vote.
   std::size_t wait_for_leader() {
-    std::size_t leader = 0;
-    EXPECT_TRUE(fleet_.wait([this] { return fleet_.voters() == kControls; }));
+    std::optional<std::size_t> leader;
     EXPECT_TRUE(fleet_.wait([&] {
-      const auto status = fleet_.control_status();
-      for (std::size_t number = 0; status && number < kControls; ++number) {
-        if (status->at("leader") == fleet_.control_http(number).address) {
-          leader = number;
-          return true;
-        }
-      }
-      return false;
+      leader = fleet_.voters() == kControls ? fleet_.leader() : std::nullopt;
+      return leader.has_value();
     }));
-    return leader;
+    return leader.value_or(0);
   }
 
-  /// Sends a change once. The result becomes true when it is acknowledged; false: refused, or no answer.
-  std::shared_ptr<std::optional<bool>> put(std::uint64_t version, std::size_t replica) {
+  /// Sends a change once.
+  PendingAnswer put(std::uint64_t version, std::size_t replica) {
     http::Request request;
     request.method = "POST";
     request.path = "/Config.Put";
     request.body = fleet_.configuration(version);
-    auto acknowledged = std::make_shared<std::optional<bool>>();
-    boost::asio::co_spawn(fleet_.io(), fleet_.ask_control(replica, std::move(request), kCallLimit),
-                          [acknowledged](const std::exception_ptr& failed, const auto& answer) {
-                            *acknowledged = !failed && answer.first == 200;
-                          });
-    return acknowledged;
+    return fleet_.begin_call(replica, std::move(request), kCallLimit);
   }
 
   void kill(std::size_t replica) {
@@ -87,13 +74,13 @@
   const std::size_t lagging = (leader + 2) % kControls;
   fleet_.control(lagging).signal(SIGSTOP);
   fleet_.slow_disk(killed, kStalledSync);
-  const auto acknowledged = put(2, leader);
+  const PendingAnswer answer = put(2, leader);
   ASSERT_TRUE(fleet_.wait([&] { return fleet_.has_unsynced(killed); }, kWrittenSoon));
-  ASSERT_FALSE(*acknowledged) << "one of three disks has it";
+  ASSERT_FALSE(answer->has_value()) << "one of three disks has it";
   kill(killed);
   fleet_.slow_disk(killed, milliseconds(0));
   fleet_.restart_control(killed);
-  ASSERT_TRUE(fleet_.wait([&] { return acknowledged->has_value(); }));
+  ASSERT_TRUE(fleet_.wait([&] { return answer->has_value(); }));
 
   for (std::size_t number = 0; number < kControls; ++number) {
     kill(number);
@@ -104,7 +91,8 @@
     fleet_.restart_control(number);
   }
   const std::string held = read_back();
-  EXPECT_TRUE(held == fleet_.configuration(2) || !**acknowledged) << held;
+  const bool acknowledged = (*answer)->first == kOk;
+  EXPECT_TRUE(held == fleet_.configuration(2) || !acknowledged) << held;
 }
 
 }  // namespace
--- a/tests/platform_support/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <deque>
@@ -370,6 +371,29 @@
   return std::nullopt;
 }
 
+std::optional<std::size_t> PlatformFleet::leader() {
+  const auto status = control_status();
+  if (!status) {
+    return std::nullopt;
+  }
+  // A machine that has joined later is named by its address, '#' and a number.
+  const std::string identity = status->at("leader");
+  const std::string address = identity.substr(0, identity.find('#'));
+  const auto found = std::find_if(controls_.begin(), controls_.end(),
+                                  [&](const Member& member) { return member.http.address == address; });
+  return found == controls_.end() ? std::nullopt
+                                  : std::optional<std::size_t>(std::distance(controls_.begin(), found));
+}
+
+PendingAnswer PlatformFleet::begin_call(std::size_t number, http::Request request, core::Duration limit) {
+  auto pending = std::make_shared<std::optional<ControlAnswer>>();
+  boost::asio::co_spawn(io_, ask_control(number, std::move(request), limit),
+                        [pending](const std::exception_ptr& /*failed*/, ControlAnswer answer) {
+                          *pending = std::move(answer);
+                        });
+  return pending;
+}
+
 std::size_t PlatformFleet::voters() {
   const auto status = control_status();
   if (!status) {
--- a/tests/platform_support/platform_fleet.hpp
+++ b/tests/platform_support/platform_fleet.hpp
@@ -20,6 +20,11 @@
 
 namespace pipitpond::platform {
 
+/// Status and body; status 0: no answer came.
+using ControlAnswer = std::pair<unsigned, std::string>;
+/// Empty until the answer has come, or will come no more.
+using PendingAnswer = std::shared_ptr<std::optional<ControlAnswer>>;
+
 /// The fleet.
 class PlatformFleet {
  public:
@@ -40,14 +45,17 @@
 
   std::unique_ptr<Caller> caller(std::size_t proxy, const std::string& database);
   /// Status and body of a request to a control replica.
-  std::pair<unsigned, std::string> call_control(std::size_t number, const std::string& method,
-                                                const std::string& path, const std::string& body);
+  ControlAnswer call_control(std::size_t number, const std::string& method, const std::string& path,
+                             const std::string& body);
   /// The same beside other work of the io_context; status 0 when no answer came within `limit`.
-  boost::asio::awaitable<std::pair<unsigned, std::string>> ask_control(std::size_t number,
-                                                                       http::Request request,
-                                                                       core::Duration limit);
+  boost::asio::awaitable<ControlAnswer> ask_control(std::size_t number, http::Request request,
+                                                    core::Duration limit);
+  /// The same without a coroutine of the caller's own.
+  PendingAnswer begin_call(std::size_t number, http::Request request, core::Duration limit);
   /// What control's leader says of itself, asked through any machine of control that runs.
   std::optional<nlohmann::json> control_status();
+  /// The number of the control replica that leads; empty while none says so.
+  std::optional<std::size_t> leader();
   /// How many machines of control vote; 0 while no leader says so.
   std::size_t voters();
   [[nodiscard]] bool ready(std::size_t proxy);
