Soak: a process is not in touch while a fault of it lasts

The proxy's log: lease_lost at 10.7 s, each fetch without an answer (replicas 2, 3 and 5), lease_gained 5.7 s later, when the cut ended. The rule was told of a fault when it began and when it ended, and counted the proxy as in touch 4 s after the begin, while it was still cut off.

ConfigurationRuleTest.NobodyIsInTouchWhileAFaultLasts.

--- a/tests/soak/configuration_rule_test.cpp
+++ b/tests/soak/configuration_rule_test.cpp
@@ -96,6 +96,19 @@
   EXPECT_THAT(rule_.broken(), ElementsAre(HasSubstr("in touch, 2 was acknowledged")));
 }
 
+TEST_F(ConfigurationRuleTest, NobodyIsInTouchWhileAFaultLasts) {
+  rule_.on_proxy_fault(0, at(100), FaultEdge::kBegin);
+  obeyed(4400, 1);
+  rule_.on_proxy_fault(0, at(4500), FaultEdge::kEnd);
+  rule_.on_control_fault(0, at(4600), FaultEdge::kBegin);
+  obeyed(8700, 1);
+  rule_.on_control_fault(0, at(8800), FaultEdge::kEnd);
+  obeyed(12'750, 1);
+  EXPECT_THAT(rule_.broken(), IsEmpty()) << "3.95 s after the last of them";
+  obeyed(12'850, 1);
+  EXPECT_THAT(rule_.broken(), ElementsAre(HasSubstr("in touch, 2 was acknowledged")));
+}
+
 TEST_F(ConfigurationRuleTest, FindsAProxyThatIsLateByFarWhileAMinorityOfControlIsDisturbed) {
   for (int millis = 500; millis <= 16'500; millis += 1000) {
     rule_.on_control_fault(static_cast<std::size_t>(millis / 1000 % 2), at(millis));
