A fence whose term a database has reached is refused, so that a later term is begun

Cause, from control's log: plates-2 crashed while it was being promoted and was ordered twice, which took the databases' own term from 1 to 3. The change was completed as term 2, the database had started again meanwhile, and the next change began 2 ms later as term 3, before any status had shown the databases' term. Each answered HOLD 3 or DEMOTE 3 with "the term is not new", which counted as a fence that failed: it was sent again every 0.1 s at the same term.

FenceTest.AFenceOfATermThatTheDatabaseHasReachedIsRefusedWithThatTerm; the callback was never called for the platform's databases before. The test's fixture replaces the set-up that stood in the other test, which asks what it asked.

--- a/tests/platform/database_calls_test.cpp
+++ b/tests/platform/database_calls_test.cpp
@@ -3,39 +3,74 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <optional>
+
 #include "platform_stage/service.hpp"
 #include "support/coroutine.hpp"
 
 namespace pipitpond::platform {
 namespace {
 
-TEST(FenceTest, ADemotedPrimaryReceivesNothingEither) {
-  // Bench, kcbu-counts trouble-1, LOST in 2 of 10 plays of seed 11: a primary of two terms ago was demoted
-  // while its successor was replaced, followed that successor, and gave it receipts past the fence.
-  boost::asio::io_context io;
-  platform_stage::ServiceOptions options;
-  platform_stage::Service service(io, options);
-  service.start();
-  platform_stage::Database& database = service.database(0);
-  ASSERT_TRUE(database.primary());
-  std::optional<database::FenceAnswer> fenced;
-  bool failed = false;
-  control::DatabaseCallCallbacks answers;
-  answers.fenced = [&](const failover::FenceDatabase&, const database::FenceAnswer& answer) {
-    fenced = answer;
-  };
-  answers.fence_failed = [&](const failover::FenceDatabase&) { failed = true; };
-  control::FencedLeadership fenced_leadership;
-  fenced_leadership.holds = [] { return true; };
-  fenced_leadership.token = [] { return core::Term{1}; };
-  DatabaseCalls calls(io, PromotionOptions{}, fenced_leadership, answers);
-  const core::Endpoint endpoint{"127.0.0.1", database.options().port};
-  calls.fence(failover::FenceDatabase{core::GroupName(database.options().service),
-                                      core::DatabaseId(database.options().id), endpoint, 7});
-  ASSERT_TRUE(pipitpond::testing::run_until(io, [&] { return fenced.has_value() || failed; }));
-  EXPECT_TRUE(fenced);
-  EXPECT_FALSE(database.primary());
-  EXPECT_FALSE(database.receives());
+/// A stand-in service, and control's calls to its first database, which leads.
+class FenceTest : public ::testing::Test {
+ protected:
+  FenceTest() : service_(io_, platform_stage::ServiceOptions{}) {
+    service_.start();
+    answers_.fenced = [this](const failover::FenceDatabase&, const database::FenceAnswer& answer) {
+      fenced_ = answer;
+    };
+    answers_.fence_failed = [this](const failover::FenceDatabase&) { failed_ = true; };
+    answers_.refused = [this](const core::GroupName&, const core::DatabaseId&, core::Term, core::Term newer) {
+      refused_by_ = newer;
+    };
+    leadership_.holds = [] { return true; };
+    leadership_.token = [] { return core::Term{1}; };
+    calls_ = std::make_unique<DatabaseCalls>(io_, PromotionOptions{}, leadership_, answers_);
+  }
+
+  [[nodiscard]] platform_stage::Database& database() { return service_.database(0); }
+
+  /// Fences the database, and waits for what comes of it.
+  void fence(core::Term term) {
+    fenced_.reset();
+    refused_by_.reset();
+    failed_ = false;
+    const core::Endpoint endpoint{"127.0.0.1", database().options().port};
+    calls_->fence(failover::FenceDatabase{core::GroupName(database().options().service),
+                                          core::DatabaseId(database().options().id), endpoint, term});
+    ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return fenced_ || refused_by_ || failed_; }));
+  }
+
+  boost::asio::io_context io_;
+  platform_stage::Service service_;
+  control::DatabaseCallCallbacks answers_;
+  control::FencedLeadership leadership_;
+  std::unique_ptr<DatabaseCalls> calls_;
+  std::optional<database::FenceAnswer> fenced_;
+  std::optional<core::Term> refused_by_;
+  bool failed_ = false;
+};
+
+// A demoted primary of two terms ago followed its successor's successor and gave it receipts past the fence.
+TEST_F(FenceTest, ADemotedPrimaryReceivesNothingEither) {
+  ASSERT_TRUE(database().primary());
+  fence(7);
+  EXPECT_TRUE(fenced_);
+  EXPECT_FALSE(database().primary());
+  EXPECT_FALSE(database().receives());
+}
+
+// A change of primary whose term the databases had reached was fenced at that term for ever.
+TEST_F(FenceTest, AFenceOfATermThatTheDatabaseHasReachedIsRefusedWithThatTerm) {
+  fence(1);
+  EXPECT_EQ(refused_by_, core::Term{1});
+  fence(7);
+  ASSERT_TRUE(fenced_);
+  fence(5);
+  EXPECT_EQ(refused_by_, core::Term{7});
+  fence(7);
+  EXPECT_TRUE(fenced_) << "the same hold again";
 }
 
 }  // namespace
