--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -16,6 +16,7 @@
 #include "failover/departed_database_removal.hpp"
 #include "failover/effects.hpp"
 #include "failover/member_probes.hpp"
+#include "failover/primary_choice.hpp"
 #include "failover/returned_log_check.hpp"
 #include "failover/suspicion_tally.hpp"
 #include "protocol/configuration.hpp"
@@ -28,9 +29,9 @@
   GroupCoordinator(std::vector<Effect>& effects, const RevisionAppliedCheck& revision_applied)
       : effects_(effects), revision_applied_(revision_applied) {}
 
-  /// Clears all state except the configuration. A change of primary that another leadership began is not
-  /// continued in its term.
-  void reset();
+  /// Clears all state except the configuration, when a leadership begins or ends. A change of primary that
+  /// another leadership began is not continued in its term.
+  void reset(core::Instant now);
   /// Takes over the group as committed at `revision`, and the daemons that own its current primary.
   void on_configuration(core::Instant now, const protocol::Group& group, std::vector<core::DaemonId> owners,
                         protocol::Revision revision);
@@ -58,6 +59,8 @@
   [[nodiscard]] core::Term last_term() const;
   [[nodiscard]] bool has_primary() const;
   [[nodiscard]] core::DatabaseId primary() const;
+  /// Of the last term that had one; empty if none had.
+  [[nodiscard]] core::DatabaseId last_primary() const;
   [[nodiscard]] const protocol::Database* member(const core::DatabaseId& database) const;
 
   [[nodiscard]] bool is_named() const;
@@ -71,6 +74,9 @@
   void adopt_primary(core::Instant now);
   [[nodiscard]] bool should_probe() const;
   [[nodiscard]] bool change_is_due(core::Instant now, const LastHeartbeats& last_heartbeats) const;
+  /// Whether a promotion that another leadership ordered just before it ended may still take effect. It would
+  /// end the holds that this one sets.
+  [[nodiscard]] bool earlier_order_may_take_effect(core::Instant now) const;
   [[nodiscard]] bool leader_lost_primary(core::Instant now) const;
   [[nodiscard]] bool stall_confirmed(core::Instant now) const;
   [[nodiscard]] bool replica_acks_missing(core::Instant now) const;
@@ -88,8 +94,13 @@
   void send_fences(core::Instant now);
   void choose_when_fenced(core::Instant now);
   [[nodiscard]] bool should_await_more_fences(core::Instant now) const;
+  /// Whether the last primary, which is fenced, is to lead again: the group would else have no primary until
+  /// databases return that may be gone for good.
+  [[nodiscard]] bool must_reinstate(core::Instant now, const std::vector<FencedMember>& fenced) const;
   void promote(core::Instant now);
   void abandon_candidate(core::Instant now);
+  /// Gives the promoted database up if it has been replaced or has started again meanwhile.
+  void complete(core::Instant now);
   void propose_complete(core::Instant now);
 
   std::vector<Effect>& effects_;
@@ -101,6 +112,7 @@
   ReturnedLogCheck returned_logs_;
   SuspicionTally tally_;
 
+  core::Instant leadership_since_;
   Phase phase_ = Phase::kSteady;
   bool planned_ = false;
   core::Instant phase_since_;
@@ -125,12 +137,17 @@
 /// Once enough databases are fenced, the others get this long to answer before the new primary is chosen.
 /// More answers improve the choice but do not make it safer.
 inline constexpr core::Duration kFenceGracePeriod = std::chrono::milliseconds(50);
+/// A last primary that is fenced leads again if no other database could be chosen for this long.
+inline constexpr core::Duration kReinstateAfter = std::chrono::milliseconds(1000);
 /// Delay before a failed fence or promote request is sent again.
 inline constexpr core::Duration kRetryDelay = std::chrono::milliseconds(100);
 /// Time without an answer after which a fence or promote request is sent again.
 inline constexpr core::Duration kAnswerTimeout = std::chrono::milliseconds(400);
 /// Answer timeout of a promotion in a semi-synchronous group, which an external service performs.
 inline constexpr core::Duration kExternalPromotionTimeout = std::chrono::milliseconds(4000);
+/// An external service's promotion takes effect within this time of its order: some hundred ms, by the
+/// platform's protocol.
+inline constexpr core::Duration kOrderTakesEffectWithin = std::chrono::milliseconds(1000);
 /// Delay before a proposal that has not appeared in the committed configuration is repeated.
 inline constexpr core::Duration kProposalRetryInterval = std::chrono::milliseconds(400);
 /// Attempts to promote one candidate in a term before the next term is begun.
