Control says how many voters its leader has not heard yet when it changes the members

Sight for the incident of the replaced control machine. `in_contact` takes a voter that has not answered a new leader for present in the first moments, so `membership_decided reason=joins silent_ms=0 voters=3 in_contact=3` could not be told from three voters that are there. `unheard` tells them apart.

--- a/src/control/membership_log.cpp
+++ b/src/control/membership_log.cpp
@@ -34,9 +34,11 @@
 void log_decision(const raft::MembershipDecision& decision) {
   const raft::Member& member = decision.member;
   logging::logger("control")->info(
-      "event=membership_decided reason={} member={} in_place_of={} silent_ms={} voters={} in_contact={}",
+      "event=membership_decided reason={} member={} in_place_of={} silent_ms={} voters={} in_contact={} "
+      "unheard={}",
       name_of(decision.reason), logging::field(member.id.value()), logging::field(member.replaces.value()),
-      core::to_millis(decision.silent_for), decision.voters, decision.voters_in_contact);
+      core::to_millis(decision.silent_for), decision.voters, decision.voters_in_contact,
+      decision.voters_unheard);
 }
 
 void log_members(raft::Index index, const raft::Membership& membership) {
--- a/src/raft/node.hpp
+++ b/src/raft/node.hpp
@@ -149,6 +149,8 @@
   [[nodiscard]] const LostCandidacy& lost_candidacy() const { return lost_candidacy_; }
   /// Leader only: number of voters, itself included, that answered within the shortest election timeout.
   [[nodiscard]] std::size_t voters_in_contact() const;
+  /// Leader only: number of other voters that have not answered it yet.
+  [[nodiscard]] std::size_t voters_unheard() const;
   /// When a member last answered this leader; empty if it never did, or if this replica is not the leader.
   [[nodiscard]] std::optional<core::Instant> last_contact(const core::ControlId& id) const;
 
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -85,6 +85,13 @@
   }));
 }
 
+std::size_t Node::voters_unheard() const {
+  const auto& members = membership().members;
+  return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [this](const Member& member) {
+    return member.role == MemberRole::kVoter && member.id != config_.id && !last_contact(member.id);
+  }));
+}
+
 core::Duration Node::time_since_contact(const core::ControlId& id) const {
   if (id == config_.id) return core::Duration::zero();
   if (const auto contact = last_contact(id)) return now_ - *contact;
@@ -110,8 +117,8 @@
 
 void Node::record_decision(MembershipReason reason, const Member& member) {
   const auto& silent = member.replaces.empty() ? member.id : member.replaces;
-  decisions_.push_back(
-      {reason, member, time_since_contact(silent), membership().voter_count(), voters_in_contact()});
+  decisions_.push_back({reason, member, time_since_contact(silent), membership().voter_count(),
+                        voters_in_contact(), voters_unheard()});
 }
 
 void Node::update_tracked_members() {
--- a/src/raft/ready.hpp
+++ b/src/raft/ready.hpp
@@ -40,6 +40,8 @@
   core::Duration silent_for{0};  ///< Of the member it replaces, if any, else of the member.
   std::size_t voters = 0;        ///< Number of voters after the change.
   std::size_t voters_in_contact = 0;
+  /// Voters that have not answered this leader yet. In its first moments they count as in contact.
+  std::size_t voters_unheard = 0;
 };
 
 /// Work for the driver, to be done in the order of the fields.
