A replaced control machine loses its vote although all replicas restart right after its successor came

Callers saw the users' line: the configuration doesn't come. Of three control machines one was replaced by an empty one at another address, all control processes were killed 0.02 to 0.1 s after its start and came back; 4.5 s later, more than CatchUpS, one disk was lost, and nobody was elected any more, for good.

Cause: whose place a newcomer takes was decided once, when it was let in, from the silence that the leader of that moment had counted. A fleet that is killed whole counts anew, so the newcomer took nobody's place and the dead voter stayed for 6 s: four voters, of which three must answer. The same for a machine that dies just before its successor comes. Class: what was known of others is gone with the process, and the bound is counted from there.

The rule now follows from the voters themselves and needs no memory: an even number of voters bears no more losses than one voter fewer, so a voter that is silent for four of the longest election timeouts is removed where the others bear one loss more without it (one of an even number, two of an odd one). The naming of a silent voter at admission, and its flag in the log, go. What stays: who joins at a member's own address takes its place; a lone silent voter of an odd number stays for 6 s, so that a machine that is frozen or restarted does not leave and come back; can_remove_voter's two conditions; changes of one voter at a time, so that any two majorities meet. The log of an older version may still name a silent voter with the flag: its successor then removes it at once, and it joins anew if it lives.

--- a/src/raft/node.hpp
+++ b/src/raft/node.hpp
@@ -214,8 +214,6 @@
   /// Adds the replica as a learner. Empty if it is a member now, else the reason of the refusal.
   std::optional<JoinRefusal> admit(const Member& joiner);
   void admit_at_new_endpoint(const Member& joiner);
-  /// A silent voter that no other member replaces yet; empty: none.
-  [[nodiscard]] core::ControlId unreplaced_silent_voter() const;
 
   // Reads without a leader (node_leaderless_reads.cpp).
   void begin_leaderless_round();
@@ -241,6 +239,8 @@
   bool remove_replaced_member();
   bool remove_silent_member();
   [[nodiscard]] bool can_remove_voter() const;
+  /// How long a voter may be silent before it is removed.
+  [[nodiscard]] core::Duration silence_limit_of_voters() const;
   void remove_member(Member removed, MembershipReason reason);
   void continue_transfer();
 
--- a/src/raft/node_joining.cpp
+++ b/src/raft/node_joining.cpp
@@ -93,31 +93,16 @@
   changed.members.push_back(joiner);
   changed.members.back().role = MemberRole::kLearner;
   changed.members.back().replaces = existing_is_learner ? existing.replaces : existing.id;
-  changed.members.back().replaces_only_silent = existing_is_learner && existing.replaces_only_silent;
   const Member learner = changed.members.back();
   append_membership(std::move(changed));
   record_decision(MembershipReason::kJoins, learner);
   return std::nullopt;
 }
 
-core::ControlId Node::unreplaced_silent_voter() const {
-  const auto& members = membership().members;
-  for (const auto& member : members) {
-    const bool silent = member.role == MemberRole::kVoter && member.id != config_.id &&
-                        time_since_contact(member.id) >= config_.election_timeout_min;
-    const bool replaced = std::any_of(members.begin(), members.end(),
-                                      [&](const Member& other) { return other.replaces == member.id; });
-    if (silent && !replaced) return member.id;
-  }
-  return {};
-}
-
 void Node::admit_at_new_endpoint(const Member& joiner) {
   auto changed = membership();
   changed.members.push_back(joiner);
   changed.members.back().role = MemberRole::kLearner;
-  changed.members.back().replaces = unreplaced_silent_voter();
-  changed.members.back().replaces_only_silent = !changed.members.back().replaces.empty();
   const Member learner = changed.members.back();
   append_membership(std::move(changed));
   record_decision(MembershipReason::kJoins, learner);
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -13,9 +13,10 @@
 /// In longest election timeouts: how long a new leader counts silence from its election only, because live
 /// members have not answered it yet.
 constexpr int kNewLeaderGraceTimeouts = 2;
-/// In longest election timeouts: how long a voter must be silent before its replacement displaces it. A voter
-/// that is unreachable for a shorter time stays; one that returns later joins again.
-constexpr int kReplacementSilenceTimeouts = 4;
+/// In longest election timeouts: how long a voter must be silent before it is removed where the others then
+/// bear one more loss. A voter that is unreachable for a shorter time stays; one that returns later joins
+/// again.
+constexpr int kUselessVoteTimeouts = 4;
 
 }  // namespace
 
@@ -172,9 +173,6 @@
   for (const auto& member : membership().members) {
     const auto* replaced = membership().find(member.replaces);
     if (replaced == nullptr || replaced->id == config_.id || member.role != MemberRole::kVoter) continue;
-    const bool silent =
-        time_since_contact(replaced->id) >= kReplacementSilenceTimeouts * config_.election_timeout_max;
-    if (member.replaces_only_silent && !(silent && can_remove_voter())) continue;
     remove_member(*replaced, MembershipReason::kReplaced);
     return true;
   }
@@ -184,16 +182,32 @@
 bool Node::remove_silent_member() {
   if (!config_.open_membership) return false;
   const bool may_remove_voter = can_remove_voter();
+  const auto voter_limit = silence_limit_of_voters();
   for (const auto& member : membership().members) {
     const bool votes = member.role == MemberRole::kVoter;
     if (votes && !may_remove_voter) continue;
-    if (time_since_contact(member.id) < config_.remove_silent_after) continue;
+    if (time_since_contact(member.id) < (votes ? voter_limit : config_.remove_silent_after)) continue;
     remove_member(member, MembershipReason::kSilent);
     return true;
   }
   return false;
 }
 
+core::Duration Node::silence_limit_of_voters() const {
+  // An even number of voters bears no more losses than one voter fewer. So without one silent voter of an
+  // even number, or two of an odd number, the others bear one loss more. A newcomer beside the dead machine
+  // whose place it takes makes the number even. The rule needs no memory of who was silent when the newcomer
+  // came, which is gone when all replicas restart.
+  const auto limit = kUselessVoteTimeouts * config_.election_timeout_max;
+  const auto& members = membership().members;
+  const auto silent = std::count_if(members.begin(), members.end(), [&](const Member& member) {
+    return member.role == MemberRole::kVoter && time_since_contact(member.id) >= limit;
+  });
+  const bool is_even = membership().voter_count() % 2 == 0;
+  return silent >= (is_even ? 1 : 2) ? std::min(limit, config_.remove_silent_after)
+                                     : config_.remove_silent_after;
+}
+
 bool Node::can_remove_voter() const {
   // The remaining voters must keep a majority in contact even if one more of them fails.
   const std::size_t left = membership().voter_count() - 1;
@@ -204,9 +218,7 @@
   auto changed = membership();
   std::erase_if(changed.members, [&](const Member& member) { return member.id == removed.id; });
   for (auto& member : changed.members) {
-    if (member.replaces != removed.id) continue;
-    member.replaces = {};
-    member.replaces_only_silent = false;
+    if (member.replaces == removed.id) member.replaces = {};
   }
   append_membership(std::move(changed));
   record_decision(reason, removed);
--- a/src/raft/types.hpp
+++ b/src/raft/types.hpp
@@ -28,13 +28,10 @@
   MemberRole role = MemberRole::kVoter;
   /// The member that this one replaces and that is removed once this one is a voter. Empty: none.
   core::ControlId replaces;
-  /// The leader chose `replaces` by itself, and that member's disk may be intact: it is removed only after it
-  /// has stopped answering.
-  bool replaces_only_silent = false;
 
   auto operator<=>(const Member&) const = default;
 
-  MSGPACK_DEFINE(id, internal, operators, role, replaces, replaces_only_silent);
+  MSGPACK_DEFINE(id, internal, operators, role, replaces);
 };
 
 /// The members of the cluster: all control replicas, voters and learners.
