--- a/tests/raft/cluster.hpp
+++ b/tests/raft/cluster.hpp
@@ -65,6 +65,7 @@
 
   void stop(const core::ControlId& id) { replicas_.erase(id); }
   void restart(const core::ControlId& id) { start(id, replicas_.at(id).persisted); }
+  [[nodiscard]] bool is_running(const core::ControlId& id) const { return replicas_.count(id) > 0; }
   Replica& at(const core::ControlId& id) { return replicas_.at(id); }
   Node& node(const core::ControlId& id) { return replicas_.at(id).node; }
 
