--- a/src/raft/node.hpp
+++ b/src/raft/node.hpp
@@ -240,7 +240,7 @@
   bool remove_silent_member();
   [[nodiscard]] bool can_remove_voter() const;
   /// How long a voter may be silent before it is removed.
-  [[nodiscard]] core::Duration silence_limit_of_voters() const;
+  [[nodiscard]] core::Duration max_voter_silence() const;
   void remove_member(Member removed, MembershipReason reason);
   void continue_transfer();
 
--- a/src/raft/node_membership.cpp
+++ b/src/raft/node_membership.cpp
@@ -13,10 +13,10 @@
 /// In longest election timeouts: how long a new leader counts silence from its election only, because live
 /// members have not answered it yet.
 constexpr int kNewLeaderGraceTimeouts = 2;
-/// In longest election timeouts: how long a voter must be silent before it is removed where the others then
-/// bear one more loss. A voter that is unreachable for a shorter time stays; one that returns later joins
+/// In longest election timeouts: how long a voter must be silent before it is removed, if the others bear one
+/// more loss without it. A voter that is unreachable for a shorter time stays; one that returns later joins
 /// again.
-constexpr int kUselessVoteTimeouts = 4;
+constexpr int kSurplusVoterTimeouts = 4;
 
 }  // namespace
 
@@ -182,7 +182,7 @@
 bool Node::remove_silent_member() {
   if (!config_.open_membership) return false;
   const bool may_remove_voter = can_remove_voter();
-  const auto voter_limit = silence_limit_of_voters();
+  const auto voter_limit = max_voter_silence();
   for (const auto& member : membership().members) {
     const bool votes = member.role == MemberRole::kVoter;
     if (votes && !may_remove_voter) continue;
@@ -193,19 +193,19 @@
   return false;
 }
 
-core::Duration Node::silence_limit_of_voters() const {
+core::Duration Node::max_voter_silence() const {
   // An even number of voters bears no more losses than one voter fewer. So without one silent voter of an
   // even number, or two of an odd number, the others bear one loss more. A newcomer beside the dead machine
   // whose place it takes makes the number even. The rule needs no memory of who was silent when the newcomer
   // came, which is gone when all replicas restart.
-  const auto limit = kUselessVoteTimeouts * config_.election_timeout_max;
+  const auto surplus_limit = kSurplusVoterTimeouts * config_.election_timeout_max;
   const auto& members = membership().members;
   const auto silent = std::count_if(members.begin(), members.end(), [&](const Member& member) {
-    return member.role == MemberRole::kVoter && time_since_contact(member.id) >= limit;
+    return member.role == MemberRole::kVoter && time_since_contact(member.id) >= surplus_limit;
   });
   const bool is_even = membership().voter_count() % 2 == 0;
-  return silent >= (is_even ? 1 : 2) ? std::min(limit, config_.remove_silent_after)
-                                     : config_.remove_silent_after;
+  const bool has_surplus = silent >= (is_even ? 1 : 2);
+  return has_surplus ? std::min(surplus_limit, config_.remove_silent_after) : config_.remove_silent_after;
 }
 
 bool Node::can_remove_voter() const {
--- a/src/simulation/simulated_disk.cpp
+++ b/src/simulation/simulated_disk.cpp
@@ -47,7 +47,7 @@
   }
   auto& file = *directory_[name];
   file.content += bytes;
-  file.dirty.resize(file.content.size(), true);
+  if (!file.dropped.empty()) file.dropped.resize(file.content.size(), false);
   return core::outcome::success();
 }
 
@@ -58,7 +58,9 @@
   if (found == directory_.end()) return missing(name);
   auto& file = *found->second;
   file.content.replace(offset, bytes.size(), bytes);
-  std::fill_n(file.dirty.begin() + static_cast<std::ptrdiff_t>(offset), bytes.size(), true);
+  if (!file.dropped.empty()) {
+    std::fill_n(file.dropped.begin() + static_cast<std::ptrdiff_t>(offset), bytes.size(), false);
+  }
   return core::outcome::success();
 }
 
@@ -66,31 +68,37 @@
   BOOST_OUTCOME_TRYV(count_call());
   const auto found = directory_.find(name);
   if (found == directory_.end()) return missing(name);
-  found->second->content.resize(size);
-  found->second->dirty.resize(size, true);
+  auto& file = *found->second;
+  file.content.resize(size);
+  if (!file.dropped.empty()) file.dropped.resize(size, false);
   return core::outcome::success();
 }
 
 core::Result<void> SimulatedDisk::sync(const std::string& name) {
   const auto found = directory_.find(name);
-  const auto counted = count_call();
-  if (!counted) {
-    if (drops_bytes_of_failed_syncs_ && found != directory_.end()) {
-      found->second->dirty.assign(found->second->dirty.size(), false);
-    }
+  auto counted = count_call();
+  if (counted.has_failure()) {
+    if (drops_bytes_of_failed_syncs_ && found != directory_.end()) drop_unsynced_bytes(*found->second);
     return counted;
   }
   if (found == directory_.end()) return missing(name);
-  if (!loses_syncs_) write_dirty_bytes(*found->second);
+  if (!loses_syncs_) write_unsynced_bytes(*found->second);
   return core::outcome::success();
 }
 
-void SimulatedDisk::write_dirty_bytes(File& file) {
-  file.durable.resize(file.content.size(), '\0');
+void SimulatedDisk::drop_unsynced_bytes(File& file) {
+  file.dropped.resize(file.content.size(), false);
   for (std::size_t position = 0; position < file.content.size(); ++position) {
-    if (file.dirty[position]) file.durable[position] = file.content[position];
+    const bool durable = position < file.durable.size() && file.durable[position] == file.content[position];
+    if (!durable) file.dropped[position] = true;
+  }
+}
+
+void SimulatedDisk::write_unsynced_bytes(File& file) {
+  const auto before = std::exchange(file.durable, file.content);
+  for (std::size_t position = 0; position < file.dropped.size(); ++position) {
+    if (file.dropped[position]) file.durable[position] = position < before.size() ? before[position] : '\0';
   }
-  file.dirty.assign(file.content.size(), false);
 }
 
 core::Result<void> SimulatedDisk::rename(const std::string& from, const std::string& to) {
@@ -141,17 +149,9 @@
   durable_directory_ = directory_;
 }
 
-bool SimulatedDisk::has_dropped_bytes(const File& file) {
-  for (std::size_t position = 0; position < file.content.size(); ++position) {
-    const bool durable = position < file.durable.size() && file.durable[position] == file.content[position];
-    if (!durable && !file.dirty[position]) return true;
-  }
-  return false;
-}
-
 void SimulatedDisk::lose_unsynced_bytes(File& file) {
   const bool appended_only = file.content.compare(0, file.durable.size(), file.durable) == 0;
-  if (has_dropped_bytes(file)) {
+  if (!file.dropped.empty()) {
     file.content = file.durable;
   } else if (!appended_only) {
     // A truncation: it happened or it did not.
@@ -163,7 +163,7 @@
     if (random_.chance(kHalf)) file.content.resize(whole, '\0');
   }
   file.durable = file.content;
-  file.dirty.assign(file.content.size(), false);
+  file.dropped.clear();
 }
 
 void SimulatedDisk::wipe() {
@@ -177,7 +177,7 @@
   auto& file = *directory_.at(name);
   file.content = std::move(bytes);
   file.durable = file.content;
-  file.dirty.assign(file.content.size(), false);
+  file.dropped.clear();
 }
 
 }  // namespace pipitpond::simulation
--- a/src/simulation/simulated_disk.hpp
+++ b/src/simulation/simulated_disk.hpp
@@ -48,7 +48,9 @@
   struct File {
     std::string durable;
     std::string content;
-    std::vector<bool> dirty;  ///< For each byte of `content`: whether the next sync writes it.
+    /// For each byte of `content`: whether a failed sync has dropped it, so that no later sync writes it.
+    /// Empty if there is none.
+    std::vector<bool> dropped;
   };
   using Directory = std::map<std::string, std::shared_ptr<File>>;
   /// A change of one name that is not synced yet: the file it now stands for, or none.
@@ -60,10 +62,9 @@
   core::Result<void> count_call();
   void change_name(const std::string& name, std::shared_ptr<File> file);
   void lose_unsynced_bytes(File& file);
-  /// Whether a failed sync has left bytes in memory only that no later sync will write.
-  static bool has_dropped_bytes(const File& file);
-  /// Makes the dirty bytes of a file durable.
-  static void write_dirty_bytes(File& file);
+  static void drop_unsynced_bytes(File& file);
+  /// Makes the bytes of a file durable, but for those that were dropped.
+  static void write_unsynced_bytes(File& file);
 
   Random random_;
   Directory directory_;
