--- a/tests/platform/control_membership_test.cpp
+++ b/tests/platform/control_membership_test.cpp
@@ -42,12 +42,7 @@
   std::size_t leader() {
     std::optional<std::size_t> leading;
     EXPECT_TRUE(fleet_.wait([&] {
-      const auto now = fleet_.control_status();
-      for (std::size_t number = 0; now && number < fleet_.controls(); ++number) {
-        if (machine_of(now->at("leader")) == name_of(number)) {
-          leading = number;
-        }
-      }
+      leading = fleet_.leader();
       return leading.has_value();
     }));
     return leading.value_or(0);
--- a/tests/platform/power_loss_test.cpp
+++ b/tests/platform/power_loss_test.cpp
@@ -17,22 +17,11 @@
 constexpr milliseconds kStalledSync(60'000);
 constexpr core::Duration kCallLimit = std::chrono::seconds(3);
 constexpr milliseconds kWrittenSoon(2000);
-constexpr core::Duration kDeathLimit = std::chrono::seconds(5);
 
 class PowerLossTest : public ::testing::Test {
  protected:
   PowerLossTest() : fleet_({}, kControls, 1) {}
 
-  /// The number of the replica that leads, once all three vote.
-  std::size_t wait_for_leader() {
-    std::optional<std::size_t> leader;
-    EXPECT_TRUE(fleet_.wait([&] {
-      leader = fleet_.voters() == kControls ? fleet_.leader() : std::nullopt;
-      return leader.has_value();
-    }));
-    return leader.value_or(0);
-  }
-
   /// Sends a change once.
   PendingAnswer put(std::uint64_t version, std::size_t replica) {
     http::Request request;
@@ -46,11 +35,6 @@
     return answer->has_value() && (*answer)->first == kOk;
   }
 
-  void kill(std::size_t replica) {
-    fleet_.control(replica).signal(SIGKILL);
-    fleet_.control(replica).wait(kDeathLimit);
-  }
-
   /// Text of the configuration that any replica reads back.
   std::string read_back() {
     std::string text;
@@ -73,7 +57,9 @@
 // The killed replica's restart found the change in its file, unsynced, and counted as one that holds it.
 TEST_F(PowerLossTest, AChangeThatAReplicaWasKilledInTheMidstOfSyncingIsNotLostOnceAcknowledged) {
   ASSERT_TRUE(fleet_.become_ready());
-  const std::size_t leader = wait_for_leader();
+  const auto found = fleet_.wait_for_leader(kControls);
+  ASSERT_TRUE(found.has_value());
+  const std::size_t leader = *found;
   const std::size_t killed = (leader + 1) % kControls;
   const std::size_t lagging = (leader + 2) % kControls;
   fleet_.control(lagging).signal(SIGSTOP);
@@ -81,13 +67,13 @@
   const PendingAnswer answer = put(2, leader);
   ASSERT_TRUE(fleet_.wait([&] { return fleet_.has_unsynced(killed); }, kWrittenSoon));
   ASSERT_FALSE(is_acknowledged(answer)) << "one of three disks has it";
-  kill(killed);
+  fleet_.kill_control(killed);
   fleet_.slow_disk(killed, milliseconds(0));
   fleet_.restart_control(killed);
   ASSERT_TRUE(fleet_.wait([&] { return answer->has_value(); }));
 
   for (std::size_t number = 0; number < kControls; ++number) {
-    kill(number);
+    fleet_.kill_control(number);
     fleet_.lose_unsynced(number);
   }
   fleet_.lose_disk(leader);
--- a/tests/platform_support/platform_fleet.cpp
+++ b/tests/platform_support/platform_fleet.cpp
@@ -24,6 +24,7 @@
 
 namespace {
 
+constexpr core::Duration kDeathLimit = std::chrono::seconds(5);
 constexpr core::Duration kCallTimeout = std::chrono::seconds(5);
 /// Of each process's log, printed when a test fails.
 constexpr std::size_t kLinesOfAFailure = 12;
@@ -224,6 +225,11 @@
   return files;
 }
 
+void PlatformFleet::kill_control(std::size_t number) {
+  control(number).signal(SIGKILL);
+  control(number).wait(kDeathLimit);
+}
+
 void PlatformFleet::restart_control(std::size_t number) {
   start(controls_.at(number), "pipitpond-platform-control");
 }
@@ -385,6 +391,15 @@
                                   : std::optional<std::size_t>(std::distance(controls_.begin(), found));
 }
 
+std::optional<std::size_t> PlatformFleet::wait_for_leader(std::size_t voter_count) {
+  std::optional<std::size_t> leading;
+  wait([&] {
+    leading = voters() == voter_count ? leader() : std::nullopt;
+    return leading.has_value();
+  });
+  return leading;
+}
+
 PendingAnswer PlatformFleet::begin_call(std::size_t number, http::Request request, core::Duration limit) {
   auto pending = std::make_shared<std::optional<ControlAnswer>>();
   boost::asio::co_spawn(io_, ask_control(number, std::move(request), limit),
--- a/tests/platform_support/platform_fleet.hpp
+++ b/tests/platform_support/platform_fleet.hpp
@@ -56,6 +56,8 @@
   std::optional<nlohmann::json> control_status();
   /// The number of the control replica that leads; empty while none says so.
   std::optional<std::size_t> leader();
+  /// The same once so many machines of control vote; empty if that doesn't come in time.
+  std::optional<std::size_t> wait_for_leader(std::size_t voter_count);
   /// How many machines of control vote; 0 while no leader says so.
   std::size_t voters();
   [[nodiscard]] bool ready(std::size_t proxy);
@@ -71,6 +73,8 @@
   /// When the process that runs now was started, or was about to be.
   [[nodiscard]] core::Instant proxy_started(std::size_t number) const { return proxies_.at(number).started; }
   process::Child& control(std::size_t number) { return *controls_.at(number).child; }
+  /// Kills a control replica and waits for its end.
+  void kill_control(std::size_t number);
   void restart_control(std::size_t number);
   /// Starts another, empty control machine, whose settings name these machines.
   void add_control(const std::vector<std::size_t>& seeds);
