The soak judges statements by the service that executed them, over every change of their route

No play on real processes judged what the rule on configurations is about: statements run by the service of an older version, run on a dropped route, or refused though the route is there, beside load, with sessions kept open. Every soak now has a second service and a route that each version leads to the first one, the second one, or nowhere; two callers at each proxy read, write and run transactions on it. Each statement is explained by the versions that its proxy may obey (acknowledged long enough before, or before its start, and none below what the same life has shown): if none explains the service that executed it, the promise is broken. What a life has shown is kept with its time, so that statements beside one another are judged too.

--- a/tests/soak/configuration_rule.cpp
+++ b/tests/soak/configuration_rule.cpp
@@ -1,6 +1,7 @@
 #include "soak/configuration_rule.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -52,26 +53,76 @@
   }
 }
 
+void ConfigurationRule::on_sent(Version version, std::string body) {
+  places_.emplace(version, place_of_moving_route(body));
+  bodies_.emplace(version, std::move(body));
+}
+
 void ConfigurationRule::on_obeyed(const ObeyedVersion& seen) {
   ++observations_;
-  const auto who = "proxy " + std::to_string(seen.proxy) + " obeys version " + number(seen.version);
-  LastSeen& last = last_seen_[seen.proxy];
-  const bool same_life = last.started == seen.started;
-  if (same_life && seen.version < last.version && seen.asked >= last.answered) {
-    blame("went back", who + " after " + number(last.version) + " in the same life");
+  judge_look(seen, "obeys version " + number(seen.version),
+             [&seen](Version version) { return version == seen.version; });
+}
+
+void ConfigurationRule::on_route_used(const RouteUse& use) {
+  ++route_uses_;
+  std::string what = "leads the moving route to";
+  for (const RoutePlace place : use.places) {
+    what += std::string(" ") + to_string(place);
   }
-  const Version owed_at_start = newest_acknowledged(seen.started);
-  if (seen.version < owed_at_start) {
-    blame("started behind", who + ", " + number(owed_at_start) + " was acknowledged before it started");
+  judge_look(use, what, [this, &use](Version version) {
+    return std::count(use.places.begin(), use.places.end(), places_.at(version)) > 0;
+  });
+}
+
+void ConfigurationRule::judge_look(const ProxyLook& look, const std::string& what, const Explains& explains) {
+  Version greatest_floor = 0;
+  for (const Floor& floor : floors_of(look)) {
+    greatest_floor = std::max(greatest_floor, floor.version);
+    if (!least_version(floor.version, explains)) {
+      blame(floor.kind, "proxy " + std::to_string(look.proxy) + " " + what + floor.reason);
+    }
+  }
+  if (const auto least = least_version(greatest_floor, explains)) {
+    shown_[look.proxy].note(look.answered, *least);
+  }
+}
+
+std::vector<ConfigurationRule::Floor> ConfigurationRule::floors_of(const ProxyLook& look) {
+  ShownVersions& shown = shown_[look.proxy];
+  if (shown.started != look.started) {
+    shown = ShownVersions{look.started, {}};
   }
-  const auto limit = in_force_limit(seen.proxy, seen.asked);
-  const Version owed = limit ? newest_acknowledged(seen.asked - *limit) : 0;
-  if (seen.version < owed) {
-    blame("late", who + " in touch, " + number(owed) + " was acknowledged more than " +
-                      std::to_string(core::to_millis(*limit)) + " ms before");
+  std::vector<Floor> floors;
+  const Version before = shown.before(look.asked);
+  floors.push_back({before, "went back", " after " + number(before) + " in the same life"});
+  const Version at_start = newest_acknowledged(look.started);
+  floors.push_back(
+      {at_start, "started behind", ", " + number(at_start) + " was acknowledged before it started"});
+  if (const auto limit = in_force_limit(look.proxy, look.asked)) {
+    const Version owed = newest_acknowledged(look.asked - *limit);
+    floors.push_back({owed, "late",
+                      " in touch, " + number(owed) + " was acknowledged more than " +
+                          std::to_string(core::to_millis(*limit)) + " ms before"});
   }
-  if (!same_life || seen.version >= last.version) {
-    last = LastSeen{seen.started, seen.answered, seen.version};
+  return floors;
+}
+
+std::optional<Version> ConfigurationRule::least_version(Version floor, const Explains& explains) const {
+  const auto found = std::find_if(bodies_.lower_bound(floor), bodies_.end(),
+                                  [&](const auto& sent) { return explains(sent.first); });
+  return found == bodies_.end() ? std::nullopt : std::optional(found->first);
+}
+
+Version ConfigurationRule::ShownVersions::before(core::Instant moment) const {
+  const auto later =
+      std::find_if(from.begin(), from.end(), [moment](const auto& one) { return one.first > moment; });
+  return later == from.begin() ? 0 : std::prev(later)->second;
+}
+
+void ConfigurationRule::ShownVersions::note(core::Instant moment, Version version) {
+  if (from.empty() || version > from.back().second) {
+    from.emplace_back(moment, version);
   }
 }
 
--- a/tests/soak/configuration_traffic.cpp
+++ b/tests/soak/configuration_traffic.cpp
@@ -139,7 +139,8 @@
   for (int number = 0; version % kLargeEvery == 0 && number < kManyRoutes; ++number) {
     names.push_back("large" + std::to_string(number));
   }
-  return fleet_.configuration(version, static_cast<unsigned>(1500 + version % 977), names);
+  const std::string body = fleet_.configuration(version, static_cast<unsigned>(1500 + version % 977), names);
+  return with_moving_route(body, version);
 }
 
 awaitable<void> ConfigurationTraffic::send_new(std::uint64_t seed) {
@@ -195,6 +196,7 @@
         co_await fleet_.ask_control(replica, std::move(request), loses_the_answer ? kImpatience : kCallLimit);
     if (status == kOk) {
       rule_.on_acknowledged(core::BootClock::now(), version);
+      on_acknowledged_(replica);
       co_return true;
     }
     if (ends_the_call(status)) {
--- a/tests/soak/configuration_traffic.hpp
+++ b/tests/soak/configuration_traffic.hpp
@@ -6,6 +6,7 @@
 //
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -30,6 +31,9 @@
   /// Reads that were served on held sessions.
   [[nodiscard]] std::size_t held_reads() const { return held_reads_; }
 
+  /// Called at each acknowledgement of a valid change, with the replica that gave it.
+  void on_acknowledged(std::function<void(std::size_t)> callback) { on_acknowledged_ = std::move(callback); }
+
   /// Sends a new change beside whatever else goes on.
   void begin_change();
   /// Sends a new change and waits for its acknowledgement; false when none came.
@@ -70,6 +74,7 @@
   Version version_ = 1;                         ///< Newest that was sent.
   std::map<std::size_t, Version> last_obeyed_;  ///< By proxy.
   std::size_t held_reads_ = 0;
+  std::function<void(std::size_t)> on_acknowledged_ = [](std::size_t) {};
   bool stopped_ = false;
   std::size_t running_ = 0;
 };
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -14,6 +14,7 @@
 #include "soak/configuration_rule.hpp"
 #include "soak/configuration_traffic.hpp"
 #include "soak/judge.hpp"
+#include "soak/moving_route_callers.hpp"
 #include "soak/platform_links.hpp"
 #include "soak/soak_caller.hpp"
 #include "soak/soak_faults.hpp"
@@ -32,6 +33,7 @@
 constexpr core::Duration kCalmTime = std::chrono::seconds(1);
 /// The draws of the configuration's traffic are not those of the faults.
 constexpr std::uint64_t kTrafficSeed = 0x9E3779B97F4A7C15;
+constexpr std::uint64_t kMovingRouteSeed = 0x8EBC6AF09C88C6E3;
 
 /// Pause of a probe between two tries.
 constexpr milliseconds kProbePause(20);
@@ -62,6 +64,17 @@
   return folder;
 }
 
+/// The service beside the fleet's own one. Nothing happens to its databases.
+platform_stage::ServiceOptions second_service(const platform::PlatformFleet& fleet) {
+  platform_stage::ServiceOptions options;
+  options.name = kSecondServiceName;
+  options.databases = kDatabases;
+  for (std::size_t number = 0; number < fleet.controls(); ++number) {
+    options.control.push_back(fleet.control_http(number));
+  }
+  return options;
+}
+
 class SoakRun {
  public:
   SoakRun(std::uint64_t seed, const FleetSize& size)
@@ -72,9 +85,13 @@
                [this, seed](platform::PlatformFleet& fleet) {
                  machine_links_ = std::make_unique<MachineLinks>(fleet, kMostReplacedControls, seed);
                }),
+        second_service_(fleet_.io(), second_service(fleet_)),
         platform_links_(fleet_, kMostReplacedControls, seed),
+        moving_route_callers_(fleet_, second_service_, kDatabases, rule_, seed ^ kMovingRouteSeed),
         traffic_(fleet_, rule_, seed ^ kTrafficSeed),
         faults_(fleet_, database_links_, *machine_links_, platform_links_, rule_, traffic_, seed) {
+    fleet_.service().take_orders_for(second_service_);
+    second_service_.start();
     std::vector<core::Endpoint> proxies;
     for (std::size_t number = 0; number < fleet_.proxies(); ++number) {
       proxies.push_back(fleet_.callers(number));
@@ -94,6 +111,7 @@
       boost::asio::co_spawn(fleet_.io(), caller->run(), boost::asio::detached);
     }
     traffic_.start();
+    moving_route_callers_.start();
     const core::Instant end = core::BootClock::now() + length;
     while (core::BootClock::now() < end) {
       faults_.step(core::BootClock::now());
@@ -140,12 +158,14 @@
 
   bool stop_callers() {
     traffic_.stop();
+    moving_route_callers_.stop();
     for (const auto& caller : callers_) {
       caller->stop();
     }
     return fleet_.wait([&] {
-      return traffic_.ended() && std::all_of(callers_.begin(), callers_.end(),
-                                             [](const auto& caller) { return caller->ended(); });
+      return traffic_.ended() && moving_route_callers_.ended() &&
+             std::all_of(callers_.begin(), callers_.end(),
+                         [](const auto& caller) { return caller->ended(); });
     });
   }
 
@@ -245,7 +265,9 @@
   ConfigurationRule rule_;
   std::unique_ptr<MachineLinks> machine_links_;  ///< Made while the fleet is.
   platform::PlatformFleet fleet_;
+  platform_stage::Service second_service_;
   PlatformLinks platform_links_;
+  MovingRouteCallers moving_route_callers_;
   ConfigurationTraffic traffic_;
   SoakFaults faults_;
   std::size_t operations_ = 0;
@@ -280,8 +302,9 @@
   std::cout << "soak: seed " << seed << ", " << run.operations() << " operations, "
             << run.rule().acknowledged().size() << " versions, " << run.rule().reads() << " reads, "
             << run.rule().observations() << " looks at proxies, " << run.held_reads()
-            << " of them on held sessions, " << run.orders() << " orders to promote, "
-            << broken.size() + run.rule().broken().size() << " broken promises" << std::endl;
+            << " of them on held sessions, " << run.rule().route_uses() << " uses of the moving route, "
+            << run.orders() << " orders to promote, " << broken.size() + run.rule().broken().size()
+            << " broken promises" << std::endl;
 }
 
 class SoakSeeds : public ::testing::TestWithParam<std::uint64_t> {};
--- a/tools/platform_stage/service.cpp
+++ b/tools/platform_stage/service.cpp
@@ -150,7 +150,11 @@
 http::Response Service::order(const http::Request& request) {
   http::Response response;
   const json body = json::parse(request.body, nullptr, false);
-  if (request.path != "/promote" || !body.is_object() || body.value("Service", "") != options_.name) {
+  const std::string service = body.is_object() ? body.value("Service", "") : "";
+  if (const auto other = others_.find(service); other != others_.end()) {
+    return other->second->order(request);
+  }
+  if (request.path != "/promote" || service != options_.name) {
     response.status = kNoOrder;
     return response;
   }
--- a/tools/platform_stage/service.hpp
+++ b/tools/platform_stage/service.hpp
@@ -52,6 +52,8 @@
   void start();
   /// Starts the promotion call; returns where it listens.
   core::Endpoint start_promotion_call();
+  /// The promotion call takes orders for this service too. It must outlive the orders.
+  void take_orders_for(Service& other) { others_[other.options_.name] = &other; }
 
   Database& database(std::size_t number) { return *databases_.at(number); }
   /// The primary of the greatest term, or null.
@@ -99,6 +101,7 @@
   std::vector<std::unique_ptr<Database>> databases_;
   std::list<Waiting> waiting_;
   std::unique_ptr<http::Server> promotion_call_;
+  std::map<std::string, Service*> others_;  ///< By name: services whose orders the promotion call takes too.
   std::vector<Order> orders_;
   std::string present_primary_;  ///< Id of the database that was promoted last.
   std::set<std::string> draining_;
