A test loses all power and the acknowledger's disk at the acknowledgement

With every sync 0.15 s late, an answer that does not wait for the disks of a majority comes first, and the loss of what was not synced takes the change away. For each of three replicas that may acknowledge.

Each loss has a fleet of its own now.

--- a/tests/platform/power_loss_test.cpp
+++ b/tests/platform/power_loss_test.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds kStalledSync(60'000);
 constexpr core::Duration kCallLimit = std::chrono::seconds(3);
 constexpr milliseconds kWrittenSoon(2000);
+/// Long enough for an answer that doesn't wait for the disks to come first.
+constexpr milliseconds kSlowSync(150);
 
 class PowerLossTest : public ::testing::Test {
  protected:
@@ -51,9 +53,46 @@
     return text;
   }
 
+  void slow_all_disks(milliseconds delay) {
+    for (std::size_t number = 0; number < kControls; ++number) {
+      fleet_.slow_disk(number, delay);
+    }
+  }
+
+  /// All of control loses power at one moment, and one replica its disk.
+  void lose_all_power(std::size_t lost_disk) {
+    for (std::size_t number = 0; number < kControls; ++number) {
+      fleet_.control(number).signal(SIGKILL);
+    }
+    for (std::size_t number = 0; number < kControls; ++number) {
+      fleet_.kill_control(number);
+      fleet_.lose_unsynced(number);
+    }
+    fleet_.lose_disk(lost_disk);
+    slow_all_disks(milliseconds(0));
+    for (std::size_t number = 0; number < kControls; ++number) {
+      fleet_.restart_control(number);
+    }
+  }
+
   PlatformFleet fleet_;
 };
 
+class AcknowledgerLossTest : public PowerLossTest, public ::testing::WithParamInterface<std::size_t> {};
+
+TEST_P(AcknowledgerLossTest, LosesNoChangeWhenItsDiskAndAllPowerGoAtTheAcknowledgement) {
+  ASSERT_TRUE(fleet_.become_ready());
+  ASSERT_TRUE(fleet_.wait_for_leader(kControls));
+  slow_all_disks(kSlowSync);
+  const PendingAnswer answer = put(2, GetParam());
+  ASSERT_TRUE(fleet_.wait([&] { return answer->has_value(); }));
+  ASSERT_TRUE(is_acknowledged(answer));
+  lose_all_power(GetParam());
+  EXPECT_EQ(read_back(), fleet_.configuration(2));
+}
+
+INSTANTIATE_TEST_SUITE_P(EachReplica, AcknowledgerLossTest, ::testing::Range(std::size_t{0}, kControls));
+
 // The killed replica's restart found the change in its file, unsynced, and counted as one that holds it.
 TEST_F(PowerLossTest, AChangeThatAReplicaWasKilledInTheMidstOfSyncingIsNotLostOnceAcknowledged) {
   ASSERT_TRUE(fleet_.become_ready());
