The soak starts a database again that ends after its planned restart is over

From the logs: plates-2 had said that it drains, was ordered to be promoted all the same (its log was the furthest of those fenced), led from 12.86, and left at 13.38. The planned restart was over by then, so its end found it running; its leave was acknowledged later, it ended, and nobody started it again. Control had a departed primary, and one replica whose fence counts where two are needed (the old primary's new life is unproven): it waits, as it is meant to. Whoever ends now after its fault is over is started again.

--- a/tests/soak/database_life_faults.cpp
+++ b/tests/soak/database_life_faults.cpp
@@ -99,6 +99,10 @@
   // One that has been promoted meanwhile, or whose fault has ended, stays.
   if (leaving_.contains(number) && !fleet_.service().database(number).primary()) {
     co_await fleet_.service().leave(number);
+    const bool ended_after_its_fault = !leaving_.contains(number) && !is_hit({Part::kDatabase, number});
+    if (ended_after_its_fault) {
+      start_again(number);
+    }
   }
 }
 
