Tests: one virtual time and one drawn time in place of two each

Two simulations of pooling had the same queue of acts, line for line; it is support/virtual_time.hpp now. Two files of the soak's faults drew a time from a range, in two ways; it is soak/drawn_time.hpp. No check changes.

--- a/tests/pooling/concurrency_load_test.cpp
+++ b/tests/pooling/concurrency_load_test.cpp
@@ -6,13 +6,13 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <utility>
 #include <vector>
 
 #include "pooling/concurrency_limit.hpp"
 #include "pooling/statement_queue.hpp"
+#include "support/virtual_time.hpp"
 
 namespace pipitpond::pooling {
 namespace {
@@ -81,43 +81,25 @@
       request.owner = owner(random_);
       request.arrived = core::Instant{} + core::Duration(micros(random_));
       request.statements_left = is_transaction(random_) ? kStatementsOfTransaction : 1;
-      at_time(request.arrived, [this, request] { arrive(request); });
+      time_.at(request.arrived, [this, request] { arrive(request); });
     }
     outcome_.asked = static_cast<std::size_t>(count);
-    while (!events_.empty()) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      event.act();
-    }
+    time_.run();
     return outcome_;
   }
 
  private:
-  struct Event {
-    core::Instant at;
-    std::uint64_t number = 0;
-    std::function<void()> act;
-
-    bool operator>(const Event& other) const {
-      return std::pair(at, number) > std::pair(other.at, other.number);
-    }
-  };
   struct Job {
     core::Duration length;
     std::function<void(bool)> done;
   };
 
-  void at_time(core::Instant at, std::function<void()> act) {
-    events_.push({at, ++events_made_, std::move(act)});
-  }
-
   // --- Database
 
   void submit(std::function<void(bool)> done) {
     if (jobs_.size() >= kDatabaseQueue) {
       ++outcome_.rejected;
-      at_time(now_ + kRejection, [done = std::move(done)] { done(false); });
+      time_.at(time_.now() + kRejection, [done = std::move(done)] { done(false); });
       return;
     }
     std::uniform_int_distribution<int> micros(5'000, 13'000);
@@ -130,7 +112,7 @@
       Job job = std::move(jobs_.front());
       jobs_.pop_front();
       ++busy_;
-      at_time(now_ + job.length, [this, done = std::move(job.done)] {
+      time_.at(time_.now() + job.length, [this, done = std::move(job.done)] {
         --busy_;
         start_jobs();
         done(true);
@@ -145,7 +127,7 @@
     entry.number = ++last_number_;
     entry.goal = request.arrived + kGoal;
     waiting_.emplace(entry.number, request);
-    owners_[request.owner].queue.enqueue(now_, entry, kSlots * kMaxWaitingPerSlot, kAverageTime);
+    owners_[request.owner].queue.enqueue(time_.now(), entry, kSlots * kMaxWaitingPerSlot, kAverageTime);
     serve(request.owner);
   }
 
@@ -158,13 +140,14 @@
   void serve(std::size_t index) {
     Owner& owner = owners_[index];
     while (has_room(owner)) {
-      const auto next = owner.queue.take_next(now_, kAverageTime, [](const QueueEntry&) { return true; });
+      const auto next =
+          owner.queue.take_next(time_.now(), kAverageTime, [](const QueueEntry&) { return true; });
       if (!next) {
         return;
       }
       const Request request = waiting_.at(*next);
       waiting_.erase(*next);
-      if (now_ < request.arrived + kDeadline) {
+      if (time_.now() < request.arrived + kDeadline) {
         begin(request);
       }
     }
@@ -172,14 +155,14 @@
 
   void begin(const Request& request) {
     ++owners_[request.owner].in_flight.outside;
-    submit([this, request, sent = now_](bool ran) {
+    submit([this, request, sent = time_.now()](bool ran) {
       Owner& owner = owners_[request.owner];
       --owner.in_flight.outside;
       note_answer(owner, ran, sent);
       if (ran) {
         go_on(request);
       } else {
-        at_time(now_ + kBusyPause, [this, request] { arrive(request); });
+        time_.at(time_.now() + kBusyPause, [this, request] { arrive(request); });
       }
       serve(request.owner);
     });
@@ -188,25 +171,25 @@
   /// Continues the request after one of its statements has run.
   void go_on(Request request) {
     if (--request.statements_left > 0) {
-      at_time(now_ + kRest, [this, request] { run_in_transaction(request); });
+      time_.at(time_.now() + kRest, [this, request] { run_in_transaction(request); });
       return;
     }
-    outcome_.in_time += now_ <= request.arrived + kGoal ? 1 : 0;
+    outcome_.in_time += time_.now() <= request.arrived + kGoal ? 1 : 0;
   }
 
   void run_in_transaction(const Request& request) {
-    if (now_ >= request.arrived + kDeadline) {
+    if (time_.now() >= request.arrived + kDeadline) {
       return;
     }
     ++owners_[request.owner].in_flight.in_transactions;
-    submit([this, request, sent = now_](bool ran) {
+    submit([this, request, sent = time_.now()](bool ran) {
       Owner& owner = owners_[request.owner];
       --owner.in_flight.in_transactions;
       note_answer(owner, ran, sent);
       if (ran) {
         go_on(request);
       } else {
-        at_time(now_ + kBusyPause, [this, request] { run_in_transaction(request); });
+        time_.at(time_.now() + kBusyPause, [this, request] { run_in_transaction(request); });
       }
       serve(request.owner);
     });
@@ -214,18 +197,16 @@
 
   void note_answer(Owner& owner, bool ran, core::Instant sent) const {
     if (ran) {
-      owner.limit.on_answered(now_, now_ - sent);
+      owner.limit.on_answered(time_.now(), time_.now() - sent);
     } else {
-      owner.limit.on_refused(now_);
+      owner.limit.on_refused(time_.now());
     }
   }
 
   std::mt19937 random_;
   bool counts_transactions_;
   std::vector<Owner> owners_;
-  core::Instant now_{};
-  std::uint64_t events_made_ = 0;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  testing::VirtualTime time_;
   std::deque<Job> jobs_;
   std::size_t busy_ = 0;
   std::map<WaiterNumber, Request> waiting_;
--- a/tests/pooling/opening_choice_test.cpp
+++ b/tests/pooling/opening_choice_test.cpp
@@ -7,11 +7,12 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <utility>
 #include <vector>
 
+#include "support/virtual_time.hpp"
+
 namespace pipitpond::pooling {
 namespace {
 
@@ -78,33 +79,19 @@
   explicit Play(Policy policy) : policy_(policy) {}
 
   void arrive_at(core::Instant at, int tenant) {
-    at_time(at, [this, tenant] {
-      waiting_.push_back({tenant, now_});
+    time_.at(at, [this, tenant] {
+      waiting_.push_back({tenant, time_.now()});
       serve();
     });
   }
 
   Outcome run() {
-    while (!events_.empty()) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      event.act();
-    }
+    time_.run();
     std::sort(outcome_.latencies.begin(), outcome_.latencies.end());
     return outcome_;
   }
 
  private:
-  struct Event {
-    core::Instant at;
-    std::uint64_t number = 0;
-    std::function<void()> act;
-
-    bool operator>(const Event& other) const {
-      return std::pair(at, number) > std::pair(other.at, other.number);
-    }
-  };
   struct Waiting {
     int tenant = 0;
     core::Instant arrived;
@@ -114,10 +101,6 @@
     std::function<void()> done;
   };
 
-  void at_time(core::Instant at, std::function<void()> act) {
-    events_.push({at, ++events_made_, std::move(act)});
-  }
-
   /// Queues a job at the database, which runs it when a slot is free.
   void submit(Job job) {
     jobs_.push_back(std::move(job));
@@ -129,7 +112,7 @@
       Job job = std::move(jobs_.front());
       jobs_.pop_front();
       ++busy_slots_;
-      at_time(now_ + job.length, [this, done = std::move(job.done)] {
+      time_.at(time_.now() + job.length, [this, done = std::move(job.done)] {
         --busy_slots_;
         done();
         start_jobs();
@@ -153,9 +136,10 @@
 
   void run_statement(Waiting waiter) {
     ++in_use_[waiter.tenant];
-    submit({kStatement, [this, waiter, sent = now_] {
-              average_statement_time_ += (now_ - sent - average_statement_time_) / kLatencyAverageDivisor;
-              outcome_.latencies.push_back(now_ - waiter.arrived);
+    submit({kStatement, [this, waiter, sent = time_.now()] {
+              average_statement_time_ +=
+                  (time_.now() - sent - average_statement_time_) / kLatencyAverageDivisor;
+              outcome_.latencies.push_back(time_.now() - waiter.arrived);
               --in_use_[waiter.tenant];
               idle_.push_back(waiter.tenant);
               serve();
@@ -213,8 +197,8 @@
   void open(int tenant) {
     ++opening_[tenant];
     ++outcome_.openings;
-    submit({kOpening, [this, tenant, begun = now_] {
-              average_opening_time_ += (now_ - begun - average_opening_time_) / kLatencyAverageDivisor;
+    submit({kOpening, [this, tenant, begun = time_.now()] {
+              average_opening_time_ += (time_.now() - begun - average_opening_time_) / kLatencyAverageDivisor;
               --opening_[tenant];
               idle_.push_back(tenant);
               serve();
@@ -222,9 +206,7 @@
   }
 
   Policy policy_;
-  core::Instant now_{};
-  std::uint64_t events_made_ = 0;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  testing::VirtualTime time_;
   std::deque<Waiting> waiting_;
   std::deque<int> idle_;  ///< Tenants of the idle connections; the most recently used one is at the back.
   std::map<int, std::size_t> in_use_;
--- a/tests/soak/platform_way_faults.cpp
+++ b/tests/soak/platform_way_faults.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <utility>
 
+#include "soak/drawn_time.hpp"
 #include "soak/soak_faults.hpp"
 
 namespace pipitpond::soak {
@@ -19,10 +20,6 @@
 constexpr std::uint64_t kLeastMillisUnderWay = 2000;
 constexpr std::uint64_t kMostMillisUnderWay = 6000;
 
-milliseconds draw_time(std::mt19937_64& random, std::uint64_t least, std::uint64_t most) {
-  return milliseconds(least + random() % (most - least));
-}
-
 }  // namespace
 
 void SoakFaults::tell(core::Instant now, const std::string& what) {
--- a/tests/soak/power_faults.cpp
+++ b/tests/soak/power_faults.cpp
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <utility>
 
+#include "soak/drawn_time.hpp"
 #include "soak/soak_faults.hpp"
 
 namespace pipitpond::soak {
@@ -62,8 +63,8 @@
 }
 
 void SoakFaults::schedule_loss_of_all_power(core::Instant after) {
-  const std::uint64_t span = kMostMillisBetweenLosses - kLeastMillisBetweenLosses;
-  next_loss_of_all_power_ = after + milliseconds(kLeastMillisBetweenLosses + all_power_random_() % span);
+  next_loss_of_all_power_ =
+      after + draw_time(all_power_random_, kLeastMillisBetweenLosses, kMostMillisBetweenLosses);
 }
 
 void SoakFaults::step_loss_of_all_power(core::Instant now) {
@@ -103,8 +104,7 @@
     what += ", control " + std::to_string(*lost) + " its disk";
   }
   tell(now, what + ", amid " + std::to_string(active_.size()) + " other faults");
-  const std::uint64_t span = kMostMillisInTheDark - kLeastMillisInTheDark;
-  fleet_.pause(milliseconds(kLeastMillisInTheDark + all_power_random_() % span));
+  fleet_.pause(draw_time(all_power_random_, kLeastMillisInTheDark, kMostMillisInTheDark));
   end_faults_of_machines();
   restart_all_control();
   restart_all_proxies();
