Review: a replica that starts again without its log behind a cut counts as a holder, and commits are lost

A fence's answer with the empty position 0.0 counts as a proven log as long as control has not heard of the database's later birth. Behind a cut it has not, and the change of primary is over before the next heartbeat.

Ruled out: the lag and the crash of the primary alone (TROUBLE=0: no cut and no new start; nothing is lost).

--- a/review/fleet_kit.py
+++ b/review/fleet_kit.py
@@ -255,6 +255,7 @@
         self.sessions, self.running, self.signatures, self.received = set(), 0, 0, {}
         self.crash_at = time.monotonic() + options["crash_after"] if options.get("crash_after") else None
         self.semaphore, self.changed = asyncio.Semaphore(self.slots), asyncio.Event()
+        self.replaced = False
         self.cut_from, self.leaving, self.deaf = options.get("cut_from", []), False, False
         self.first_heartbeat = options.get("first_heartbeat", 0)  # How late the first one is.
         self.distance = options.get("distance", {})  # To each peer one way, in seconds.
@@ -322,8 +323,12 @@
             if session.busy and session.writes:
                 session.transport.close()
 
+    def step_down_from(self, term):
+        if self.primary and self.term == term:
+            self.step_down()
+
     def promote(self, term):
-        self.primary, self.term, self.held, self.received = True, term, 0, {}
+        self.primary, self.term, self.held, self.received, self.replaced = True, term, 0, {}, False
         self.note(f"leads {term} from {text_of(self.end())}")
         self.changed.set()
 
@@ -333,8 +338,13 @@
             return {"held": True}
         if message["term"] < self.term or (self.primary and message["term"] == self.term):
             return {"term": self.term, "refused": True}
-        if message["term"] > self.term or self.primary:
-            self.primary, self.term, self.held = False, message["term"], 0
+        if self.primary and message["term"] > self.term:
+            if not self.replaced:
+                self.replaced = True
+                asyncio.get_running_loop().call_later(1.0, self.step_down_from, self.term)
+            return {"held": True}
+        if message["term"] > self.term:
+            self.term, self.held = message["term"], 0
         if self.held > message["term"]:
             return {"held": True}
         log = self.log[:message["kept"]]
@@ -366,8 +376,9 @@
                     message = {"term": self.term, "kept": have, "before": before, "entries": entries}
                     writer.write(b"PEER " + json.dumps(message).encode() + b"\r\n")
                     answer = json.loads(await asyncio.wait_for(reader.readline(), 1))
-                    if answer.get("refused"):
-                        self.step_down()
+                    if answer.get("refused") and not self.replaced:
+                        self.replaced = True  # It leads on for a second after it can reach the new primary.
+                        asyncio.get_running_loop().call_later(1.0, self.step_down_from, self.term)
                     have = answer.get("have", have)
                     self.received[peer] = have if "have" in answer else 0
                     self.changed.set()
@@ -431,7 +442,9 @@
 class Platform:
     """Carries out POST /promote some hundred ms after the call, at the next term of the service."""
 
-    def __init__(self, effect=0.3, note=lambda text: None):
+    def __init__(self, effect=0.3, note=lambda text: None, slow=0.0):
+        self.present = {}  # The database that was promoted last, by service.
+        self.slow = slow  # How long each call takes before it is accepted.
         self.address, self.databases, self.terms, self.effect, self.note = "", {}, {}, effect, note
         self.orders = []
 
@@ -448,6 +461,8 @@
                 name, _, value = line.decode().partition(":")
                 headers[name.strip().lower()] = value.strip()
             body = json.loads(await reader.readexactly(int(headers.get("content-length", 0))))
+            self.note(f"call for {body['Id']} has arrived, token={headers['x-fence-token']}")
+            await asyncio.sleep(self.slow)
             status = self.order(body, headers)
             writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{{}}"
                          .encode())
@@ -462,6 +477,8 @@
         self.note(f"order {service} {identity} token={headers['x-fence-token']} holder={headers['x-duty-holder']}")
         if identity not in self.databases:
             return 409
+        if identity == self.present.get(service):
+            return 200  # The present primary receives 200, and nothing changes.
         asyncio.ensure_future(self.carry_out(service, identity))
         return 200
 
@@ -472,7 +489,7 @@
             reader, writer = await asyncio.open_connection(*self.databases[identity].rsplit(":", 1))
             writer.write(f"PROMOTE {term}\r\n".encode())
             if await asyncio.wait_for(reader.readline(), 1) == b"OK\r\n":
-                self.terms[service] = term
+                self.terms[service], self.present[service] = term, identity
                 self.note(f"promoted {identity} term={term}")
             writer.close()
         except (OSError, asyncio.TimeoutError):
--- a/review/writers.py
+++ b/review/writers.py
@@ -73,13 +73,13 @@
                     log.append([int(term), int(index), [[words[4], words[5], words[3]]]])
         return log
 
-    async def judge(self, crashed, before_s):
-        """Reads what was acknowledged in the last seconds before the crash of the primary."""
-        last = [thing for at, thing in self.acknowledged if crashed - before_s <= at <= crashed + 0.1]
+    async def judge(self, crashed, before_s, after_s=0.1):
+        """Reads what was acknowledged around the crash of the primary."""
+        last = [thing for at, thing in self.acknowledged if crashed - before_s <= at <= crashed + after_s]
         lost = await self.lost_of(last)
         orders = [(identity, token) for _, _, identity, token, _ in self.fleet.platform.orders]
-        result = f"{len(self.acknowledged)} writes acknowledged, promoted {orders}; of the last {len(last)} before the " \
-                 f"crash are lost: {lost if lost is None else len(lost)}"
+        result = f"{len(self.acknowledged)} writes acknowledged, promoted {orders}; of {len(last)} around the crash " \
+                 f"are lost: {lost if lost is None else len(lost)}"
         self.fleet.note(result)
         print(result)
         if lost is None or not orders or len(last) < 10:
