--- a/review/writers.py
+++ b/review/writers.py
@@ -11,7 +11,7 @@
 class Writers:
     def __init__(self, fleet, sessions=8):
         self.fleet, self.acknowledged, self.stopping, self.sessions = fleet, [], False, sessions
-        self.tasks = []
+        self.tasks, self.paused = [], False
 
     def start(self):
         self.tasks = [asyncio.ensure_future(self.session(number)) for number in range(self.sessions)]
@@ -34,6 +34,9 @@
 
     async def write(self, caller, number):
         while not self.stopping:
+            if self.paused:
+                await asyncio.sleep(0.05)
+                continue
             thing = f"w{number}x{len(self.acknowledged)}x{random.randrange(10**6)}"
             self.fleet.note(f"sent WRITE {thing}")
             reply = await caller.query(f"WRITE {thing} d{thing}", thing)
