Review: COMMITs go to a replaced primary while a held replica starts again; the cases in order of gravity

Fronts in touch with control send the COMMITs of open transactions to the old primary after its replacement has begun; a replica that has lost its hold by a restart gives the receipts.

Ruled out: the cut alone (TROUBLE=0: 2 of 2 held).

--- a/review/fleet_kit.py
+++ b/review/fleet_kit.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -305,9 +306,18 @@
                 session.other_end = None
         if "leave" in message:
             asyncio.ensure_future(self.leave())
+        if "restart" in message:
+            self.restart()
         if "deaf" in message:
             self.deaf = message["deaf"]  # It receives nothing.
 
+    def restart(self):
+        """It crashes and is back at once: with its log, without its hold and its connections."""
+        self.held, self.born, self.sequence = 0, int(time.time() * 1000), 0
+        self.note("starts again")
+        for session in list(self.sessions):
+            session.transport.abort()
+
     async def leave(self):
         """Says so first, and serves on, as some databases do before their planned end."""
         self.leaving = True
@@ -446,7 +456,7 @@
         self.present = {}  # The database that was promoted last, by service.
         self.slow = slow  # How long each call takes before it is accepted.
         self.address, self.databases, self.terms, self.effect, self.note = "", {}, {}, effect, note
-        self.orders = []
+        self.orders, self.on_order = [], lambda identity: None
 
     async def start(self):
         port = free_port()
@@ -480,6 +490,7 @@
         if identity == self.present.get(service):
             return 200  # The present primary receives 200, and nothing changes.
         asyncio.ensure_future(self.carry_out(service, identity))
+        self.on_order(identity)
         return 200
 
     async def carry_out(self, service, identity):
@@ -660,8 +671,10 @@
 
     def append_records(self):
         """Adds to the record what the databases ran."""
-        with open(os.path.join(self.folder, "ran.txt"), encoding="utf-8") as ran:
-            self.record_file.writelines(ran)
+        path = os.path.join(self.folder, "ran.txt")
+        if os.path.exists(path):
+            with open(path, encoding="utf-8") as ran:
+                self.record_file.writelines(ran)
 
     def stop(self):
         for child in self.children:
@@ -675,6 +688,24 @@
             child.wait()
 
 
+def play(run, record, trouble, **options):
+    """Runs a case on a fleet of its own and returns its exit code. All processes end with it, also on SIGTERM."""
+    async def main():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = Fleet(folder, record, **options)
+            try:
+                return await run(fleet, trouble)
+            finally:
+                fleet.stop()
+                fleet.append_records()
+    try:
+        return asyncio.run(main())
+    except (asyncio.CancelledError, OSError) as error:
+        print(f"the case couldn't run to its end: {error!r}")
+        return 2
+
+
 class Reply:
     def __init__(self, rows, line, state, position):
         self.rows, self.line, self.state, self.position = rows, line, state, position
--- a/review/writers.py
+++ b/review/writers.py
@@ -6,12 +6,13 @@
 import fleet_kit
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+READERS = 8
 
 
 class Writers:
     def __init__(self, fleet, sessions=8):
         self.fleet, self.acknowledged, self.stopping, self.sessions = fleet, [], False, sessions
-        self.tasks, self.paused = [], False
+        self.tasks, self.paused, self.transactions = [], False, False
 
     def start(self):
         self.tasks = [asyncio.ensure_future(self.session(number)) for number in range(self.sessions)]
@@ -39,7 +40,14 @@
                 continue
             thing = f"w{number}x{len(self.acknowledged)}x{random.randrange(10**6)}"
             self.fleet.note(f"sent WRITE {thing}")
-            reply = await caller.query(f"WRITE {thing} d{thing}", thing)
+            if self.transactions:
+                begun = await caller.query("BEGIN", "b" + thing)
+                if not begun.ok or not (await caller.query(f"WRITE {thing} d{thing}", thing)).ok:
+                    return
+                await asyncio.sleep(random.uniform(0, 0.6))
+                reply = await caller.query("COMMIT", "c" + thing)
+            else:
+                reply = await caller.query(f"WRITE {thing} d{thing}", thing)
             if not reply.ok:
                 self.fleet.note(f"answered {thing} {reply.line}")
                 return
@@ -48,13 +56,18 @@
             await asyncio.sleep(random.uniform(0, 0.05))
 
     async def lost_of(self, things):
-        """Those that a read on the primary route doesn't find; None if that can't be read."""
+        """Those that reads on the primary route don't find; None if they can't be read."""
+        parts = [self.lost_of_part(things[start::READERS]) for start in range(READERS)]
+        found = await asyncio.gather(*parts)
+        return None if None in found else [thing for part in found for thing in part]
+
+    async def lost_of_part(self, things):
         caller, lost = fleet_kit.Caller(self.fleet.proxies[0]["callers"]), []
         if not await caller.open("archive-primary"):
             return None
         for thing in things:
-            for _ in range(20):
-                reply = await caller.query(f"READ {thing}", "read-" + thing)
+            for attempt in range(20):
+                reply = await caller.query(f"READ {thing}", f"read-{thing}-{attempt}")
                 if reply.ok:
                     break
                 await asyncio.sleep(0.1)
@@ -63,6 +76,7 @@
             if reply.rows != ["d" + thing]:
                 self.fleet.note(f"read {thing}: {reply.rows}, but its write was acknowledged")
                 lost.append(thing)
+        caller.close()
         return lost
 
     def log_of(self, database):
@@ -81,7 +95,7 @@
         last = [thing for at, thing in self.acknowledged if crashed - before_s <= at <= crashed + after_s]
         lost = await self.lost_of(last)
         orders = [(identity, token) for _, _, identity, token, _ in self.fleet.platform.orders]
-        result = f"{len(self.acknowledged)} writes acknowledged, promoted {orders}; of {len(last)} around the crash " \
+        result = f"{len(self.acknowledged)} writes acknowledged, promoted {orders}; of {len(last)} around the event " \
                  f"are lost: {lost if lost is None else len(lost)}"
         self.fleet.note(result)
         print(result)
