--- a/review/fleet_kit.py
+++ b/review/fleet_kit.py
@@ -137,8 +137,7 @@
             self.is_peer = True
             return self.send(json.dumps(database.take_from_peer(json.loads(line[5:]))) + "\r\n")
         if line.startswith("PROMOTE "):
-            database.promote(int(line[8:]))
-            return self.send("OK\r\n")
+            return self.send(database.promote(int(line[8:])) + "\r\n")
         if line.startswith("TELL "):
             database.told_by_test(json.loads(line[5:]))
             return self.send("OK\r\n")
@@ -338,9 +337,13 @@
             self.step_down()
 
     def promote(self, term):
+        """Leads from now on. Nothing changes at the present primary; one that was demoted leads again."""
+        if self.primary and self.term == term - 1:
+            return "SAME"
         self.primary, self.term, self.held, self.received, self.replaced = True, term, 0, {}, False
         self.note(f"leads {term} from {text_of(self.end())}")
         self.changed.set()
+        return "OK"
 
     def take_from_peer(self, message):
         """Answers with the position that this log has, or with a later term."""
@@ -453,7 +456,6 @@
     """Carries out POST /promote some hundred ms after the call, at the next term of the service."""
 
     def __init__(self, effect=0.3, note=lambda text: None, slow=0.0):
-        self.present = {}  # The database that was promoted last, by service.
         self.slow = slow  # How long each call takes before it is accepted.
         self.address, self.databases, self.terms, self.effect, self.note = "", {}, {}, effect, note
         self.orders, self.on_order = [], lambda identity: None
@@ -487,8 +489,6 @@
         self.note(f"order {service} {identity} token={headers['x-fence-token']} holder={headers['x-duty-holder']}")
         if identity not in self.databases:
             return 409
-        if identity == self.present.get(service):
-            return 200  # The present primary receives 200, and nothing changes.
         asyncio.ensure_future(self.carry_out(service, identity))
         self.on_order(identity)
         return 200
@@ -500,7 +500,7 @@
             reader, writer = await asyncio.open_connection(*self.databases[identity].rsplit(":", 1))
             writer.write(f"PROMOTE {term}\r\n".encode())
             if await asyncio.wait_for(reader.readline(), 1) == b"OK\r\n":
-                self.terms[service], self.present[service] = term, identity
+                self.terms[service] = term
                 self.note(f"promoted {identity} term={term}")
             writer.close()
         except (OSError, asyncio.TimeoutError):
