--- a/review/fleet_kit.py
+++ b/review/fleet_kit.py
@@ -14,6 +14,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROXY = os.path.join(ROOT, "target", "bin", "pipitpond-platform-proxy")
+RESTART_S = 0.1  # How long a database is down that crashes and is back.
 CONTROL = os.path.join(ROOT, "target", "bin", "pipitpond-platform-control")
 
 
@@ -88,8 +89,11 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        if self.database.is_down:
+            return transport.abort()
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.database.sessions.add(self)
+        return None
 
     def connection_lost(self, error):
         self.database.sessions.discard(self)
@@ -256,7 +260,7 @@
         self.sessions, self.running, self.signatures, self.received = set(), 0, 0, {}
         self.crash_at = time.monotonic() + options["crash_after"] if options.get("crash_after") else None
         self.semaphore, self.changed = asyncio.Semaphore(self.slots), asyncio.Event()
-        self.replaced, self.beat_now = False, asyncio.Event()
+        self.replaced, self.is_down, self.beat_now = False, False, asyncio.Event()
         self.cut_from, self.leaving, self.deaf = options.get("cut_from", []), False, False
         self.distance = options.get("distance", {})  # To each peer one way, in seconds.
         self.born, self.sequence = int(time.time() * 1000), 0
@@ -311,12 +315,17 @@
             self.deaf = message["deaf"]  # It receives nothing.
 
     def restart(self):
-        """It crashes and is back at once: with its log, without its hold and its connections."""
-        self.held, self.born, self.sequence = 0, int(time.time() * 1000), 0
-        self.note("starts again")
-        self.beat_now.set()  # Its first heartbeat, at once.
+        """It crashes, and is back soon: with its log, without its hold and its connections."""
+        self.is_down = True
+        self.note("crashes")
         for session in list(self.sessions):
             session.transport.abort()
+        asyncio.get_running_loop().call_later(RESTART_S, self.come_back)
+
+    def come_back(self):
+        self.is_down, self.held, self.born, self.sequence = False, 0, int(time.time() * 1000), 0
+        self.note("starts again")
+        self.beat_now.set()  # Its first heartbeat, at once.
 
     async def leave(self):
         """Says so first, and serves on, as some databases do before their planned end."""
