Review: the scripts take ports that outgoing connections don't get

One of 20 runs of review/8 beside four other fleets ended with 2, before a fleet was up: most likely a port that was taken between the look and the start (not traced further, the logs of that run are gone).

--- a/review/fleet_kit.py
+++ b/review/fleet_kit.py
@@ -18,10 +18,22 @@
 CONTROL = os.path.join(ROOT, "target", "bin", "pipitpond-platform-control")
 
 
-def free_port(address="127.0.0.1"):
+def is_free(address, port):
     with socket.socket() as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
+def free_port():
+    """A port that is free on all addresses of a fleet, below those that the system gives to outgoing connections."""
+    addresses = [f"127.0.0.{number}" for number in (1, *range(11, 16), *range(101, 107))]
+    while True:
+        port = random.randrange(15000, 30000)
+        if all(is_free(address, port) for address in addresses):
+            return port
 
 
 def text_of(position):
