A pool takes an idle connection by the look that chose its waiter

Cause: serve_waiters() chose a waiter for whom a connection was idle; IdleConnections::take() then looked at the sockets again, and returned null if the database had closed the last fitting one between the two looks.

Change: take() looks at no socket; its callers drop closed connections before they choose.

Evidence: the new test ends with signal 11 on the code before (a connection that is closed between two looks), and passes now, for each number of looks. Other places that look and then take were read: none looks twice.

--- a/src/pooling/backend_pool.cpp
+++ b/src/pooling/backend_pool.cpp
@@ -98,6 +98,7 @@
     pool->demand_.note_use(core::BootClock::now(), *request.tenant);
   }
   if (pool->queue_.empty() && pool->may_start_statement()) {
+    pool->idle_.drop_closed();
     if (auto idle = pool->idle_.take(request.tenant, request.session)) {
       pool->queue_.note_started(request.tenant, pool->average_latency_);
       idle->charged_slot_time = pool->average_latency_;
@@ -406,6 +407,7 @@
     waiter->connection->charged_slot_time = average_latency_;
     note_in_use(*waiter->connection);
     waiter->timer.cancel();
+    idle_.drop_closed();
   }
   open_when_needed();
 }
--- a/src/pooling/idle_connections.cpp
+++ b/src/pooling/idle_connections.cpp
@@ -13,7 +13,6 @@
 
 std::unique_ptr<PooledConnection> IdleConnections::take(const std::optional<core::TenantName>& tenant,
                                                         const SessionState* session) {
-  drop_closed();
   const auto belongs = [&](const auto& connection) { return !tenant || connection->tenant == *tenant; };
   auto chosen = std::find_if(connections_.rbegin(), connections_.rend(), belongs);
   if (chosen == connections_.rend()) {
--- a/src/pooling/idle_connections.hpp
+++ b/src/pooling/idle_connections.hpp
@@ -19,8 +19,9 @@
  public:
   /// Adds a connection that has just been used, at its `idle_since`.
   void add(std::unique_ptr<PooledConnection> connection);
-  /// Removes and returns an open connection of the tenant (nullopt: of any): one that has the session's
-  /// values if there is one, otherwise the most recently used one. Null: none.
+  /// Removes and returns a connection of the tenant (nullopt: of any): one that has the session's values if
+  /// there is one, otherwise the most recently used one. Null only if has_connection_for() is false. Call
+  /// drop_closed() before, not in between: a database may close a connection at any moment.
   std::unique_ptr<PooledConnection> take(const std::optional<core::TenantName>& tenant,
                                          const SessionState* session);
   [[nodiscard]] bool has_connection_for(const std::optional<core::TenantName>& tenant) const;
--- a/tests/pooling/backend_pool_test.cpp
+++ b/tests/pooling/backend_pool_test.cpp
@@ -48,6 +48,24 @@
   EXPECT_EQ(pool_->held(), 1U);
 }
 
+// A proxy ended with signal 11: the pool chose a waiter for whom a connection was idle, and the database
+// closed that connection before the pool took it.
+TEST_F(BackendPoolTest, AConnectionThatItsDatabaseClosesWhileItIsHandedOutLeavesTheWaiterServed) {
+  constexpr int kMostLooks = 6;
+  for (int looks = 0; looks <= kMostLooks; ++looks) {
+    pool_->set_share(ConnectionShare{1, 1, std::chrono::hours(1), 1, 1});
+    auto held = std::make_unique<core::Result<ConnectionLease>>(acquire());
+    ASSERT_TRUE(held->has_value());
+    const auto waiting = pipitpond::testing::start(io_, BackendPool::acquire(pool_, request()));
+    ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return pool_->waiting() == 1; }));
+    connector_.database("a").looks_until_closed = looks;
+    held.reset();
+    connector_.database("a").looks_until_closed.reset();
+    ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return waiting->done(); }));
+    EXPECT_TRUE(waiting->value->has_value()) << "closed after " << looks << " looks";
+  }
+}
+
 TEST_F(BackendPoolTest, HoldsNoMoreConnectionsThanItsShare) {
   auto first = acquire();
   auto second = acquire();
--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -47,6 +47,8 @@
   bool fails_status = false;               ///< Status requests fail with kOverloaded.
   int status_requests = 0;
   core::Term held_term = 0;
+  /// Connections count as open for so many more questions: they are closed between two of them.
+  std::optional<int> looks_until_closed;
   int life = 1;  ///< Connections that were opened in an earlier one are closed.
   std::vector<RanStatement> ran;
 
@@ -109,7 +111,12 @@
   boost::asio::awaitable<core::Result<BackendStatus>> demote(core::Term, core::Duration timeout) override {
     return status(timeout);
   }
-  [[nodiscard]] bool is_open() const override { return open_ && life_ == database_.life; }
+  [[nodiscard]] bool is_open() const override {
+    if (database_.looks_until_closed && --*database_.looks_until_closed < 0) {
+      return false;
+    }
+    return open_ && life_ == database_.life;
+  }
   void close() override { open_ = false; }
 
  private:
