A write during a failover is refused for want of a database, whatever its length

Cause: the check that holds writes back which nothing could confirm also held during a failover of over a second, where no write is sent anyway, and its reason hid the one that callers and operators read.

--- a/src/pooling/backends_writes.cpp
+++ b/src/pooling/backends_writes.cpp
@@ -82,6 +82,9 @@
   if (found == groups_.end() || !found->second.synchronous_replication) {
     return true;
   }
+  if (found->second.primary.empty()) {
+    return true;  // None is sent before a primary is named.
+  }
   renew_exclusion(found->second, now);
   return now - found->second.failover_exclusion.at <= kRecentProofAge;
 }
--- a/tests/pooling/caller_session_writes_test.cpp
+++ b/tests/pooling/caller_session_writes_test.cpp
@@ -141,6 +141,16 @@
   EXPECT_TRUE(ran("a").empty());
 }
 
+// A refusal during a long failover blamed the lease, where there was no primary to send the write to.
+TEST_F(CallerSessionWritesTest, AWriteDuringALongFailoverIsRefusedForWantOfADatabase) {
+  change_primary("");
+  wait(kRecentProofAge + milliseconds(50));
+  CallerSession session(services_, "writes");
+  const StatementReply reply = run(session, example_statement(StatementKind::kWrite, "thing data"));
+  ASSERT_EQ(code_of(reply), FailureCode::kBusy);
+  EXPECT_NE(reply.failure->text.find("no database"), std::string::npos);
+}
+
 TEST_F(CallerSessionWritesTest, AWriteWithoutSynchronousReplicasNeedsNoConfirmation) {
   protocol::Configuration configuration = agent_.configuration();
   configuration.groups.begin()->second.sync_replicas = 0;
