--- a/src/failover/group_coordinator.cpp
+++ b/src/failover/group_coordinator.cpp
@@ -107,7 +107,7 @@
       quiesce(now);
       break;
     case Phase::kFencing:
-      daemons_have_let_go(now);
+      old_primary_is_released(now);
       send_fences(now);
       choose_when_fenced(now);
       break;
--- a/src/failover/group_coordinator.hpp
+++ b/src/failover/group_coordinator.hpp
@@ -108,6 +108,7 @@
   void fence_again(core::Instant now);
   void send_fences(core::Instant now);
   [[nodiscard]] std::vector<FencedMember> fenced_members() const;
+  /// Whether the answer may date from before the release of the old primary.
   [[nodiscard]] bool is_too_early(const Fence& fence) const;
   [[nodiscard]] static bool has_lost_log(const Fence& fence);
   static void forget_answer(Fence& fence);
@@ -116,10 +117,10 @@
   /// An answer shows one moment in one life of the database. A later life has forgotten its hold, and perhaps
   /// its log, and control may not have heard of it yet.
   void repeat_old_fences(core::Instant now);
-  /// Until every daemon has learned of the change, or lost its lease, daemons pass on what the old primary
-  /// acknowledges, perhaps with the receipt of a replica that has started again since its fence. So the new
-  /// primary is chosen by answers to fences that were sent after that.
-  bool daemons_have_let_go(core::Instant now);
+  /// Whether no daemon passes on any more what the old primary acknowledges: each has applied the begin of
+  /// the change, or its lease has run out. Only fences that are sent after that show all that was passed on,
+  /// for a replica that restarts after its fence gives receipts again.
+  bool old_primary_is_released(core::Instant now);
   [[nodiscard]] bool awaits_repeated_fence() const;
   [[nodiscard]] bool should_await_more_fences(core::Instant now) const;
   /// Whether the last primary, which is fenced, is to lead again: the group would else have no primary until
@@ -165,8 +166,8 @@
   core::DatabaseId replaced_primary_;           ///< Primary that the current change replaces.
   std::map<core::DatabaseId, Fence> fences_;
   std::optional<core::Instant> fence_quorum_since_;
-  /// Since when no daemon passes on what the replaced primary acknowledges; empty: some may.
-  std::optional<core::Instant> let_go_at_;
+  /// When old_primary_is_released() first held in this change.
+  std::optional<core::Instant> released_at_;
   std::set<core::DatabaseId> failed_candidates_;  ///< Candidates whose promotion failed during this change.
   core::DatabaseId candidate_;
   bool candidate_started_again_ = false;  ///< Since it was chosen.
--- a/src/failover/group_coordinator_fencing.cpp
+++ b/src/failover/group_coordinator_fencing.cpp
@@ -11,9 +11,9 @@
   phase_since_ = now;
   fences_.clear();
   fence_quorum_since_.reset();
-  let_go_at_.reset();
+  released_at_.reset();
   promote_attempts_ = 0;
-  daemons_have_let_go(now);
+  old_primary_is_released(now);
   send_fences(now);
 }
 
@@ -86,16 +86,16 @@
   return fence.answer->received < fence.furthest;
 }
 
-bool GroupCoordinator::daemons_have_let_go(core::Instant now) {
+bool GroupCoordinator::old_primary_is_released(core::Instant now) {
   const bool may_pass_on = is_promoted_by_service() && !revision_applied_(now, begin_revision_);
-  if (!let_go_at_.has_value() && !may_pass_on) {
-    let_go_at_ = now;
+  if (!released_at_.has_value() && !may_pass_on) {
+    released_at_ = now;
   }
-  return let_go_at_.has_value();
+  return released_at_.has_value();
 }
 
 bool GroupCoordinator::is_too_early(const Fence& fence) const {
-  return is_promoted_by_service() && let_go_at_.has_value() && fence.requested < *let_go_at_;
+  return is_promoted_by_service() && released_at_.has_value() && fence.requested < *released_at_;
 }
 
 void GroupCoordinator::repeat(Fence& fence) {
@@ -162,7 +162,7 @@
     fence_quorum_since_.reset();
     return;
   }
-  if (!daemons_have_let_go(now)) {
+  if (!old_primary_is_released(now)) {
     return;
   }
   if (!fence_quorum_since_.has_value()) {
--- a/src/pooling/backends.hpp
+++ b/src/pooling/backends.hpp
@@ -51,11 +51,11 @@
   std::optional<core::LogPosition> position;  ///< That the database told with it.
 };
 
-/// What is known of an acknowledged write.
-enum class WriteFate : std::uint8_t {
-  kKept,     ///< No failover loses it.
-  kPending,  ///< A failover is in progress, or may be.
-  kLost,     ///< The primary was replaced, and its successor may lack the write.
+/// Whether an acknowledged write outlasts a failover.
+enum class WriteDurability : std::uint8_t {
+  kDurable,    ///< No failover drops it.
+  kPending,    ///< A failover is in progress, or may be: ask again.
+  kUncertain,  ///< The primary was replaced, and its successor may lack the write.
 };
 
 /// The directory of all databases, with the connection pool of each.
@@ -101,11 +101,11 @@
   void note_acknowledged_write(const core::GroupName& group, const BackendChoice& choice, core::Instant sent,
                                const core::LogPosition& position);
 
-  /// Whether a write that a primary has acknowledged may be passed on to the caller. See backends_writes.cpp.
-  [[nodiscard]] WriteFate write_fate(const AcknowledgedWrite& write, core::Instant now);
-  /// Lets the databases, or an owner, show that the write is kept. Call while its fate is pending.
+  /// Whether the acknowledgement of a write may be passed on to the caller. See backends_writes.cpp.
+  [[nodiscard]] WriteDurability write_durability(const AcknowledgedWrite& write, core::Instant now);
+  /// Lets the databases, or an owner, show that the write is durable. Call while that is pending.
   void request_write_proof(const AcknowledgedWrite& write, core::Instant now);
-  /// True while a write that is acknowledged now is likely to be proven to be kept.
+  /// True while a write that is acknowledged now is likely to be proven durable.
   [[nodiscard]] bool may_confirm_writes(const core::GroupName& group, core::Instant now);
   /// True when the primary of the choice has been replaced, so that a commit there would not be kept. A
   /// primary that leaves as planned may still answer commits until its successor is named.
@@ -201,7 +201,7 @@
   bool request_proof_from_owners(const core::GroupName& group, core::Instant moment, core::Instant now);
   void note_proof(const core::GroupName& group, const ShownPrimary& shown);
   void note_round_reply(const core::GroupName& group, const PrimaryProof& proof, core::Instant begun);
-  [[nodiscard]] WriteFate fate_after_failover(const AcknowledgedWrite& write) const;
+  [[nodiscard]] WriteDurability durability_after_failover(const AcknowledgedWrite& write) const;
   static void note_exclusion(GroupView& view, const FailoverExclusion& exclusion);
   /// Takes control's lease into account.
   void renew_exclusion(GroupView& view, core::Instant now);
--- a/src/pooling/backends_writes.cpp
+++ b/src/pooling/backends_writes.cpp
@@ -38,37 +38,38 @@
   }
 }
 
-WriteFate Backends::write_fate(const AcknowledgedWrite& write, core::Instant now) {
+WriteDurability Backends::write_durability(const AcknowledgedWrite& write, core::Instant now) {
   const auto found = groups_.find(write.group);
   if (found == groups_.end()) {
-    return WriteFate::kLost;
+    return WriteDurability::kUncertain;
   }
   GroupView& view = found->second;
   if (!view.synchronous_replication) {
-    return WriteFate::kKept;  // No replica needs to have it: an acknowledgement promises no more.
+    return WriteDurability::kDurable;  // No replica needs to have it: an acknowledgement promises no more.
   }
   if (view.term != write.choice.term) {
-    return fate_after_failover(write);
+    return durability_after_failover(write);
   }
   renew_exclusion(view, now);
   const FailoverExclusion& exclusion = view.failover_exclusion;
   const bool is_excluded = exclusion.at >= write.answered && is_chosen_primary(write.group, write.choice);
   const bool is_of_led_term =
       !exclusion.led_term || (write.position && write.position->term == *exclusion.led_term);
-  return is_excluded && is_of_led_term ? WriteFate::kKept : WriteFate::kPending;
+  return is_excluded && is_of_led_term ? WriteDurability::kDurable : WriteDurability::kPending;
 }
 
-WriteFate Backends::fate_after_failover(const AcknowledgedWrite& write) const {
+WriteDurability Backends::durability_after_failover(const AcknowledgedWrite& write) const {
   const auto& groups = agent_.configuration().groups;
   const auto group = groups.find(write.group);
   if (group == groups.end() || !write.position) {
-    return WriteFate::kLost;
+    return WriteDurability::kUncertain;
   }
   const protocol::TermStart* next = protocol::next_term_with_primary(group->second, write.choice.term);
   if (next == nullptr) {
-    return WriteFate::kPending;
+    return WriteDurability::kPending;
   }
-  return protocol::certainly_began_with(*next, *write.position) ? WriteFate::kKept : WriteFate::kLost;
+  return protocol::certainly_began_with(*next, *write.position) ? WriteDurability::kDurable
+                                                                : WriteDurability::kUncertain;
 }
 
 void Backends::request_write_proof(const AcknowledgedWrite& write, core::Instant now) {
--- a/src/pooling/caller_session_routing.cpp
+++ b/src/pooling/caller_session_routing.cpp
@@ -413,8 +413,8 @@
   Backends& backends = services_.backends;
   while (true) {
     const core::Instant now = core::BootClock::now();
-    const WriteFate fate = backends.write_fate(write, now);
-    if (fate == WriteFate::kKept) {
+    const WriteDurability durability = backends.write_durability(write, now);
+    if (durability == WriteDurability::kDurable) {
       if (reply.position) {
         backends.note_acknowledged_write(write.group, write.choice, sent, *reply.position);
       }
@@ -422,7 +422,7 @@
       co_return reply;
     }
     const bool failover_overdue = backends.without_primary(write.group, now) >= kTypicalFailover;
-    if (fate == WriteFate::kLost || failover_overdue || now >= deadline) {
+    if (durability == WriteDurability::kUncertain || failover_overdue || now >= deadline) {
       ++services_.counters.writes_unconfirmed;
       co_return failed_reply(FailureCode::kUnsure, "a failover may have dropped it", reply.state);
     }
