Tests of sessions wait for the primary to have a statement, not for a time

AReadThatIsAnsweredAfterItsPrimaryWasReplacedRunsAgain failed once beside a load of 15: the proxy stood still for longer than the primary worked, so that the answer came before the change. The fixture's wait() takes the place of six copies.

--- a/tests/pooling/caller_session_fixture.hpp
+++ b/tests/pooling/caller_session_fixture.hpp
@@ -15,6 +15,9 @@
 
 using std::chrono::milliseconds;
 
+/// Time for which a primary works on a statement that start_slowly() has started.
+constexpr milliseconds kSlowWork(80);
+
 /// One group of the databases "a", its primary, "b" and "c". The proxy is in the zone of "b".
 class CallerSessionTest : public ::testing::Test {
  protected:
@@ -73,6 +76,19 @@
     apply();
   }
 
+  using PendingReply = decltype(pipitpond::testing::start(std::declval<boost::asio::io_context&>(),
+                                                          std::declval<CallerSession&>().run(Statement{})));
+
+  /// Starts a statement, and returns when the primary has it and will answer in kSlowWork.
+  PendingReply start_slowly(CallerSession& session, Statement statement) {
+    FakeDatabase& primary = connector_.database("a");
+    primary.work = kSlowWork;
+    const int before = primary.batches_received;
+    auto pending = pipitpond::testing::start(io_, session.run(std::move(statement)));
+    EXPECT_TRUE(pipitpond::testing::run_until(io_, [&] { return primary.batches_received > before; }));
+    return pending;
+  }
+
   void wait(core::Duration time) {
     pipitpond::testing::run_until(
         io_, [] { return false; }, milliseconds(core::to_millis(time)));
--- a/tests/pooling/caller_session_test.cpp
+++ b/tests/pooling/caller_session_test.cpp
@@ -96,8 +96,7 @@
   connector_.database("b").position = written;
   connector_.database("c").position = written;
   backends_.pools()[1]->reach() = ReplicaReach();
-  pipitpond::testing::run_until(
-      io_, [] { return false; }, milliseconds(400));
+  wait(milliseconds(400));
   EXPECT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   ASSERT_EQ(ran("b").size(), 1U);
   EXPECT_GE(*ran("b")[0].after, written);
@@ -150,8 +149,7 @@
   CallerSession session(services_, "writes");
   ASSERT_FALSE(run(session, example_statement(StatementKind::kRead)).failure);
   stop_replica_status();
-  pipitpond::testing::run_until(
-      io_, [] { return false; }, milliseconds(50));
+  wait(milliseconds(50));
   EXPECT_EQ(run(session, example_statement(StatementKind::kRead)).failure->code, FailureCode::kBusy);
 }
 
@@ -192,8 +190,7 @@
     return backends_.position_for(core::GroupName("g"), now - moment, now);
   };
   lose_lease_after_long_contact();
-  pipitpond::testing::run_until(
-      io_, [] { return false; }, milliseconds(100));
+  wait(milliseconds(100));
   const core::Instant begun = core::BootClock::now();
   CallerSession session(services_, "own");
   ASSERT_FALSE(run(session, example_statement(StatementKind::kBegin, "")).failure);
@@ -218,11 +215,8 @@
 }
 
 TEST_F(CallerSessionTest, AReadThatIsAnsweredAfterItsPrimaryWasReplacedRunsAgain) {
-  connector_.database("a").work = milliseconds(60);
   CallerSession session(services_, "writes");
-  const auto pending = pipitpond::testing::start(io_, session.run(example_statement(StatementKind::kRead)));
-  pipitpond::testing::run_until(
-      io_, [] { return false; }, milliseconds(20));
+  const auto pending = start_slowly(session, example_statement(StatementKind::kRead));
   change_primary("");
   change_primary("b");
   connector_.database("b").primary = true;
@@ -294,8 +288,7 @@
   connector_.database("a").work = milliseconds(60);
   CallerSession session(services_, "writes");
   const auto pending = pipitpond::testing::start(io_, session.run(example_statement(StatementKind::kRead)));
-  pipitpond::testing::run_until(
-      io_, [] { return false; }, milliseconds(30));
+  wait(milliseconds(30));
   ASSERT_GT(backends_.rounds().shown, 0U);
   start_again_without_log("a");
   ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return pending->done(); }));
@@ -388,8 +381,7 @@
   CallerSession session(services_, "writes");
   const auto pending =
       pipitpond::testing::start(io_, session.run(example_statement(StatementKind::kWrite, "thing data")));
-  pipitpond::testing::run_until(
-      io_, [] { return false; }, milliseconds(50));
+  wait(milliseconds(50));
   change_primary("c");
   ASSERT_TRUE(pipitpond::testing::run_until(io_, [&] { return pending->done(); }));
   EXPECT_FALSE(pending->value->failure);
--- a/tests/pooling/caller_session_writes_test.cpp
+++ b/tests/pooling/caller_session_writes_test.cpp
@@ -8,20 +8,9 @@
 namespace pipitpond::pooling {
 namespace {
 
-/// A session whose write or commit is under way at the primary for a while.
 class CallerSessionWritesTest : public CallerSessionTest {
  protected:
-  using Pending = decltype(pipitpond::testing::start(std::declval<boost::asio::io_context&>(),
-                                                     std::declval<CallerSession&>().run(Statement{})));
-
-  Pending start_slowly(CallerSession& session, Statement statement) {
-    connector_.database("a").work = milliseconds(60);
-    auto pending = pipitpond::testing::start(io_, session.run(std::move(statement)));
-    wait(milliseconds(20));
-    return pending;
-  }
-
-  StatementReply finish(const Pending& pending) {
+  StatementReply finish(const PendingReply& pending) {
     EXPECT_TRUE(pipitpond::testing::run_until(io_, [&] { return pending->done(); }));
     return pending->value.value();
   }
@@ -44,7 +33,7 @@
   const core::LogPosition start = connector_.database("a").position;
   const auto pending = start_slowly(session, example_statement(StatementKind::kWrite, "thing data"));
   change_primary("");
-  wait(milliseconds(100));
+  wait(2 * kSlowWork);
   EXPECT_FALSE(pending->done()) << "whether the write is kept is not known yet";
   change_primary("b", start);
   EXPECT_EQ(code_of(finish(pending)), FailureCode::kUnsure);
@@ -55,7 +44,7 @@
   const core::LogPosition written = next_position();
   const auto pending = start_slowly(session, example_statement(StatementKind::kWrite, "thing data"));
   change_primary("");
-  wait(milliseconds(100));
+  wait(2 * kSlowWork);
   change_primary("b", written);
   EXPECT_FALSE(finish(pending).failure);
 }
--- a/tests/pooling/fake_backends.hpp
+++ b/tests/pooling/fake_backends.hpp
@@ -46,6 +46,7 @@
   bool break_after_running = false;        ///< The next batch runs, then its connection breaks.
   bool fails_status = false;               ///< Status requests fail with kOverloaded.
   int status_requests = 0;
+  int batches_received = 0;
   core::Term held_term = 0;
   /// Connections count as open for so many more questions: they are closed between two of them.
   std::optional<int> looks_until_closed;
@@ -73,6 +74,7 @@
 
   boost::asio::awaitable<core::Result<std::vector<StatementReply>>> run(
       std::vector<BackendStatement> statements, core::Duration timeout) override {
+    ++database_.batches_received;
     if (database_.silent) {
       co_await pause_for(io_, timeout);
       open_ = false;
